--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -82,7 +82,7 @@
     }
 
     @Override
-    public void progress(long work, int events, long nowNanos) {
+    public void progress(long work, int attempt, Progress progress) {
         // A call has no output before its answer.
     }
 
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/WorkScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/WorkScheduler.java
@@ -28,10 +28,10 @@
      * Records output of the running attempt.
      *
      * @param work number of the request
-     * @param events events received since the last call
-     * @param nowNanos time of the last one
+     * @param attempt number of the attempt
+     * @param progress what arrived since the last call
      */
-    void progress(long work, int events, long nowNanos);
+    void progress(long work, int attempt, Progress progress);
 
     /**
      * Records the end of the running attempt.
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -12,6 +12,7 @@
 import org.gentianwalk.core.dispatch.CallScheduler;
 import org.gentianwalk.core.dispatch.Decision;
 import org.gentianwalk.core.dispatch.Decision.Ending;
+import org.gentianwalk.core.dispatch.Progress;
 import org.gentianwalk.core.dispatch.RetryAllowance;
 import org.gentianwalk.core.dispatch.StreamScheduler;
 import org.gentianwalk.core.dispatch.Upstream;
@@ -124,12 +125,13 @@
     }
 
     @Override
-    public void progress(long work, int attempt, int events) {
+    public void progress(long work, int attempt, Progress progress) {
         mControl.execute(
                 () -> {
                     Request request = mRequests.get(work);
                     if (request != null) {
-                        request.scheduler().progress(work, events, mTicker.nanos());
+                        request.scheduler().progress(work, attempt, progress);
+                        carryOut(request.scheduler());
                     }
                 });
     }
@@ -241,7 +243,8 @@
         WorkScheduler scheduler =
                 service.engine() == null
                         ? new CallScheduler(mSettings.locations(), retries, random)
-                        : new StreamScheduler(mSettings.locations(), retries, random);
+                        : new StreamScheduler(
+                                service.engine(), mSettings.locations(), retries, random);
         scheduler.upstreams(mDirectory.upstreams(service.name()), mTicker.nanos());
         return scheduler;
     }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/ControlPort.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/ControlPort.java
@@ -1,6 +1,7 @@
 package org.gentianwalk.gateway.traffic;
 
 import org.gentianwalk.core.dispatch.AttemptEnd;
+import org.gentianwalk.core.dispatch.Progress;
 import org.gentianwalk.core.dispatch.Work;
 
 /** What the traffic loop tells the control thread. Calls return at once. */
@@ -18,9 +19,9 @@
      *
      * @param work number of the request
      * @param attempt number of the attempt
-     * @param events events since the last call
+     * @param progress what arrived since the last call
      */
-    void progress(long work, int attempt, int events);
+    void progress(long work, int attempt, Progress progress);
 
     /**
      * Tells that an attempt has ended.
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import org.gentianwalk.core.dispatch.AttemptEnd;
 import org.gentianwalk.core.dispatch.Decision;
+import org.gentianwalk.core.dispatch.Progress;
 import org.gentianwalk.core.dispatch.Work;
 import org.gentianwalk.core.time.Ticker;
 import org.gentianwalk.gateway.http.CallerChannel;
@@ -33,6 +34,12 @@
      */
     private static final int MAX_HELD_BYTES = 256 << 10;
 
+    /**
+     * Least time between two reports of a stream's progress. It is below the pauses of engines that
+     * read a prompt, so that silence is noticed in time.
+     */
+    private static final long REPORT_NANOS = Duration.ofMillis(50).toNanos();
+
     private static final int BAD_GATEWAY = 502;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -181,7 +188,10 @@
         private @Nullable HttpHeaders mHeaders;
         private boolean mStreaming;
         private boolean mResent;
-        private boolean mHasOutput;
+        private int mUnreported;
+        private long mLastOutput;
+        private long mLongestPause;
+        private long mReportedAt;
 
         Attempt(Decision.Start start) {
             mStart = start;
@@ -340,9 +350,24 @@
             begin();
             mChannel.write(event.bytes());
             pauseWhenFull();
-            if (!mHasOutput) {
-                mHasOutput = true;
-                mWith.control().progress(mWork.id(), mStart.attempt(), 1);
+            measure();
+        }
+
+        /** Tells of the first event at once, and of further ones together. */
+        private void measure() {
+            long now = mWith.ticker().nanos();
+            boolean first = mLastOutput == 0;
+            if (!first) {
+                mLongestPause = Math.max(mLongestPause, now - mLastOutput);
+            }
+            mLastOutput = now;
+            mUnreported++;
+            if (first || now - mReportedAt >= REPORT_NANOS) {
+                mReportedAt = now;
+                Progress progress = new Progress(mUnreported, now, mLongestPause);
+                mUnreported = 0;
+                mLongestPause = 0;
+                mWith.control().progress(mWork.id(), mStart.attempt(), progress);
             }
         }
 
