Share load between instances over the mesh; avoid failed zones

Cause: nine instances placed generations without knowing of each other's, and each of them tried every engine of a crashed zone in turn. Change: FleetLink joins the mesh through a table of the store; LoadExchange tells what each instance has at engines, directly in its zone and through one instance in each other zone; engines of a failed zone are avoided until they show a sign of life; decision lines are logged.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineState.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineState.java
@@ -8,6 +8,8 @@
 
 /** What is known about one run of an engine: its work, by all instances, and how it behaves. */
 final class EngineState {
+    static final long NANOS_PER_MILLI = 1_000_000L;
+
     private static final Comparator<Reading> BY_START =
             Comparator.comparingLong(Reading::startedNanos);
 
@@ -15,14 +17,16 @@
     private static final long OVERDUE_NANOS = 50_000_000L;
 
     private Upstream mUpstream;
+    private final long mListedAt;
     private final Reachability mReachability = new Reachability();
     private final Map<Long, Load> mOwn = new HashMap<>();
     private final Map<String, List<Load>> mOthers = new HashMap<>();
     private long mLastOutput;
     private boolean mHasOutput;
 
-    EngineState(Upstream upstream) {
+    EngineState(Upstream upstream, long nowNanos) {
         mUpstream = upstream;
+        mListedAt = nowNanos;
     }
 
     /**
@@ -46,6 +50,11 @@
         mUpstream = upstream;
     }
 
+    /** Returns when the run was first seen on the list. */
+    long listedAt() {
+        return mListedAt;
+    }
+
     Reachability reachability() {
         return mReachability;
     }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -5,11 +5,9 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.gentianwalk.core.dispatch.Decision.Ending;
 import org.gentianwalk.core.route.EngineSpec;
@@ -24,156 +22,152 @@
  * availability zone keeps a copy of the memory, from which the generation goes on when its engine
  * is lost.
  */
-public final class StreamScheduler implements WorkScheduler {
+public final class StreamScheduler implements WorkScheduler, LoadSharing {
     private static final Duration NO_ENGINE_RETRY = Duration.ofMillis(500);
-    private static final int MAX_UNRUN_TRIES = 8;
-    private static final int LEAST_URGENT = 9;
 
-    /**
-     * Reading that an engine may have before it when a generation is sent there. It has to cover
-     * the time until other instances learn of it, so that engines do not run dry.
-     */
-    private static final long MAX_BACKLOG_NANOS = Duration.ofMillis(400).toNanos();
+    /** Engines that may turn a generation away before it is given up. */
+    private static final int MAX_REJECTIONS = 8;
+
+    private static final int LEAST_URGENT = 9;
 
-    /** Part of an engine's memory that is planned for; estimates of the output are often off. */
-    private static final double MEMORY_PART = 0.92;
+    /** Time after its start in which an attempt has no copy worth continuing from. */
+    private static final long NO_COPY_NANOS = Duration.ofMillis(350).toNanos();
 
-    /** Backlog that a longer path to an engine is worth. */
-    private static final long ZONE_COST_NANOS = Duration.ofMillis(20).toNanos();
+    /** Time beyond the expected one after which a first output is overdue. */
+    private static final long OVERDUE_MARGIN_NANOS = Duration.ofMillis(600).toNanos();
 
-    private static final long REGION_COST_NANOS = Duration.ofMillis(60).toNanos();
-    private static final long TIE_COST_NANOS = Duration.ofMillis(10).toNanos();
+    private static final double OVERDUE_FACTOR = 1.5;
 
-    /** Backlog that a full memory is worth, so that load spreads. */
-    private static final long MEMORY_COST_NANOS = Duration.ofMillis(300).toNanos();
+    /** Order of waiting: interrupted streams first, then by rank, then by arrival. */
+    private static final Comparator<StreamRun> ORDER =
+            Comparator.<StreamRun>comparingInt(run -> run.isInterrupted() ? 0 : 1)
+                    .thenComparingInt(run -> run.work().priority())
+                    .thenComparingLong(run -> run.work().arrivedNanos());
 
     private final EngineSpec mSpec;
-    private final LocationMap mLocations;
+    private final String mService;
     private final RetryAllowance mRetries;
-    private final RandomGenerator mRandom;
     private final EnginePace mPace = new EnginePace();
-    private final Map<String, EngineState> mEngines = new LinkedHashMap<>();
-    private final Map<Long, Stream> mStreams = new HashMap<>();
-    private final List<Stream> mWaiting = new ArrayList<>();
+    private final EngineBoard mBoard = new EngineBoard();
+    private final EngineChoice mChoice;
+    private final Map<Long, StreamRun> mRuns = new HashMap<>();
+    private final List<StreamRun> mWaiting = new ArrayList<>();
     private List<Decision> mDue = new ArrayList<>();
+    private long mShareChanges;
 
     /**
      * Creates a scheduler without engines.
      *
-     * @param spec properties of the engines
+     * @param service name of the service
+     * @param spec properties of its engines
      * @param locations distances from this instance
      * @param retries bound on further attempts
      * @param random breaks ties
      */
     public StreamScheduler(
+            String service,
             EngineSpec spec,
             LocationMap locations,
             RetryAllowance retries,
             RandomGenerator random) {
+        mService = service;
         mSpec = spec;
-        mLocations = locations;
         mRetries = retries;
-        mRandom = random;
+        mChoice = new EngineChoice(spec, locations, mBoard, mPace, random);
     }
 
     @Override
     public void upstreams(Collection<Upstream> upstreams, long nowNanos) {
-        Set<String> listed = new HashSet<>();
-        for (Upstream upstream : upstreams) {
-            listed.add(upstream.id());
-            EngineState known = mEngines.get(upstream.id());
-            if (known != null && known.upstream().isSameRun(upstream)) {
-                known.upstream(upstream);
-            } else {
-                mEngines.put(upstream.id(), new EngineState(upstream));
-            }
+        for (EngineState ended : mBoard.listed(upstreams, nowNanos)) {
+            loseAll(ended, nowNanos);
         }
-        mEngines.keySet().retainAll(listed);
+        dispatch(nowNanos);
     }
 
     @Override
     public void offer(Work work, long nowNanos) {
         mRetries.requested(nowNanos);
-        Stream stream = new Stream(work);
-        mStreams.put(work.id(), stream);
-        mWaiting.add(stream);
+        StreamRun run = new StreamRun(work);
+        mRuns.put(work.id(), run);
+        mWaiting.add(run);
         dispatch(nowNanos);
     }
 
     @Override
     public void progress(long work, int attempt, Progress progress) {
-        Stream stream = mStreams.get(work);
-        if (stream == null || stream.mEngine == null || stream.mAttempt != attempt) {
+        StreamRun run = mRuns.get(work);
+        if (run == null || run.engine() == null || run.attempt() != attempt) {
             return;
         }
-        EngineState engine = stream.mEngine;
+        EngineState engine = run.engine();
         engine.output(progress.lastNanos());
         engine.reachability().succeeded();
         mPace.paused(progress.pauseNanos());
-        stream.mLastOutput = progress.lastNanos();
-        stream.mEvents += progress.events();
-        if (!stream.mHasOutput) {
-            stream.mHasOutput = true;
-            if (stream.mFirstInLine) {
-                mPace.read(stream.mPrompt, progress.lastNanos() - stream.mStartedAt);
+        if (run.progressed(progress.lastNanos())) {
+            if (run.isAlone()) {
+                mPace.read(run.toRead(), progress.lastNanos() - run.startedAt());
             }
-            engine.own(work, load(stream, false));
+            mShareChanges++;
             dispatch(progress.lastNanos());
         }
     }
 
     @Override
     public void attemptEnded(long work, int attempt, AttemptEnd end, long nowNanos) {
-        Stream stream = mStreams.get(work);
-        if (stream == null || stream.mAttempt != attempt || stream.mEngine == null) {
+        StreamRun run = mRuns.get(work);
+        if (run == null || run.attempt() != attempt || run.engine() == null) {
             return;
         }
-        EngineState engine = stream.mEngine;
+        EngineState engine = run.engine();
         switch (end) {
             case SUCCEEDED, REJECTED -> engine.reachability().succeeded();
-            case UNREACHABLE, RESET, LOST, ANSWERED_ERROR -> engine.reachability().failed(nowNanos);
-            default -> mEngines.remove(engine.upstream().id(), engine);
+            case UNREACHABLE, RESET, LOST, ANSWERED_ERROR -> mBoard.failed(engine, nowNanos);
+            default -> mBoard.remove(engine);
         }
-        EngineState keeper = stream.mKeeper;
-        release(stream);
+        EngineState keeper = usefulKeeper(run, end, nowNanos);
+        run.ended(end);
+        run.released();
+        mShareChanges++;
         if (end == AttemptEnd.SUCCEEDED) {
-            mStreams.remove(work);
-            dispatch(nowNanos);
-            return;
-        }
-        if (!mayRepeat(stream, end, nowNanos)) {
+            mRuns.remove(work);
+        } else if (!mayRepeat(run, end, nowNanos)) {
             Ending ending =
                     end == AttemptEnd.ANSWERED_ERROR
                             ? Ending.UPSTREAM_ERROR
-                            : stream.mRan == 0 ? Ending.REFUSED : Ending.UNKNOWN;
-            finish(stream, ending, NO_ENGINE_RETRY, "no further attempt is allowed", nowNanos);
+                            : run.ran() == 0 ? Ending.REFUSED : Ending.UNKNOWN;
+            finish(run, ending, NO_ENGINE_RETRY, "no further attempt is allowed");
+        } else if (keeper != null) {
+            MemoryCopy copy = new MemoryCopy(keeper.upstream().address(), run.work().requestId());
+            start(run, keeper, copy, "keeps a copy of the memory", nowNanos);
         } else {
-            again(stream, keeper, end, nowNanos);
+            mWaiting.add(run);
         }
         dispatch(nowNanos);
     }
 
     @Override
     public void withdrawn(long work, long nowNanos) {
-        Stream stream = mStreams.remove(work);
-        if (stream != null) {
-            mWaiting.remove(stream);
-            release(stream);
+        StreamRun run = mRuns.remove(work);
+        if (run != null) {
+            mWaiting.remove(run);
+            run.released();
+            mShareChanges++;
             dispatch(nowNanos);
         }
     }
 
     @Override
     public List<Decision> advance(long nowNanos) {
-        for (Stream stream : List.copyOf(mStreams.values())) {
-            if (nowNanos - stream.mWork.deadlineNanos() >= 0) {
-                Ending ending =
-                        stream.mEngine == null && stream.mRan == 0
-                                ? Ending.REFUSED
-                                : Ending.TIMED_OUT;
-                finish(stream, ending, Duration.ZERO, "the time for the request is over", nowNanos);
-            } else if (isSilent(stream, nowNanos)) {
-                moveFromSilent(stream, nowNanos);
+        for (StreamRun run : List.copyOf(mRuns.values())) {
+            if (nowNanos - run.work().deadlineNanos() >= 0) {
+                boolean untried = run.engine() == null && run.ran() == 0;
+                finish(
+                        run,
+                        untried ? Ending.REFUSED : Ending.TIMED_OUT,
+                        Duration.ZERO,
+                        "the time for the request is over");
+            } else if (isSilent(run, nowNanos)) {
+                attemptEnded(run.work().id(), run.attempt(), AttemptEnd.LOST, nowNanos);
             }
         }
         dispatch(nowNanos);
@@ -182,212 +176,138 @@
         return due;
     }
 
-    private boolean mayRepeat(Stream stream, AttemptEnd end, long nowNanos) {
-        if (end.isNotRun()) {
-            stream.mUnrun++;
-            return stream.mUnrun < MAX_UNRUN_TRIES
-                    && (end == AttemptEnd.UNREACHABLE || mRetries.tryRetry(nowNanos));
+    @Override
+    public LoadShare share(long nowNanos) {
+        List<RunShare> runs = new ArrayList<>();
+        int waiting = 0;
+        for (StreamRun run : mRuns.values()) {
+            if (run.engine() == null) {
+                waiting += run.promptTokens();
+            } else {
+                runs.add(run.share(nowNanos));
+            }
         }
-        stream.mRan++;
-        return stream.mWork.kind().isRepeatable()
-                && stream.mRan < stream.mWork.maxAttempts()
-                && mRetries.tryRetry(nowNanos);
+        return new LoadShare(mService, mShareChanges, runs, waiting, mBoard.doubts(nowNanos));
     }
 
-    /** Continues from a copy where there is one, and puts the stream first in line otherwise. */
-    private void again(Stream stream, @Nullable EngineState keeper, AttemptEnd end, long nowNanos) {
-        stream.mResumed = true;
-        boolean lost = end == AttemptEnd.RESET || end == AttemptEnd.LOST;
-        if (lost && keeper != null && isUsable(keeper, nowNanos)) {
-            MemoryCopy copy = new MemoryCopy(keeper.upstream().address(), stream.mWork.requestId());
-            start(stream, keeper, copy, "keeps a copy of the memory", nowNanos);
-            return;
-        }
-        mWaiting.add(stream);
+    @Override
+    public long shareChanges() {
+        return mShareChanges;
     }
 
-    private boolean isSilent(Stream stream, long nowNanos) {
-        if (stream.mEngine == null || !stream.mWork.kind().isRepeatable()) {
-            return false;
-        }
-        if (stream.mHasOutput) {
-            return nowNanos - stream.mLastOutput > mPace.silenceNanos();
-        }
-        return false;
+    @Override
+    public void peerShare(String instance, LoadShare share, long nowNanos) {
+        mBoard.peerShare(instance, share, nowNanos);
+        dispatch(nowNanos);
     }
 
-    private void moveFromSilent(Stream stream, long nowNanos) {
-        attemptEnded(stream.mWork.id(), stream.mAttempt, AttemptEnd.LOST, nowNanos);
+    @Override
+    public void retainPeers(Collection<String> instances) {
+        mBoard.retainPeers(instances);
     }
 
-    private void dispatch(long nowNanos) {
-        if (mWaiting.isEmpty()) {
-            return;
-        }
-        mWaiting.sort(Stream.ORDER);
-        for (Stream stream : List.copyOf(mWaiting)) {
-            EngineState engine = chooseEngine(stream, nowNanos);
-            if (engine != null) {
-                mWaiting.remove(stream);
-                start(stream, engine, null, "least time until the first output", nowNanos);
-            } else if (mEngines.isEmpty()) {
-                Ending ending = stream.mRan == 0 ? Ending.REFUSED : Ending.UNKNOWN;
-                finish(stream, ending, NO_ENGINE_RETRY, "no engine is listed", nowNanos);
+    /** Ends all attempts at a run of an engine that is known to be over. */
+    private void loseAll(EngineState engine, long nowNanos) {
+        for (StreamRun run : List.copyOf(mRuns.values())) {
+            if (run.engine() == engine) {
+                attemptEnded(run.work().id(), run.attempt(), AttemptEnd.RESET, nowNanos);
             }
         }
     }
 
-    private @Nullable EngineState chooseEngine(Stream stream, long nowNanos) {
-        EngineState best = null;
-        double bestCost = 0;
-        for (EngineState engine : mEngines.values()) {
-            if (!isUsable(engine, nowNanos) || engine.running() >= mSpec.slots()) {
-                continue;
-            }
-            long backlog = engine.backlog(mPace.tokensPerNano(), nowNanos);
-            double memory = (double) engine.memory() / mSpec.memoryTokens();
-            double fill = memory + (double) stream.mMemory / mSpec.memoryTokens();
-            if (backlog > MAX_BACKLOG_NANOS && !stream.mResumed || fill > MEMORY_PART) {
-                continue;
-            }
-            double cost =
-                    backlog
-                            + memory * MEMORY_COST_NANOS
-                            + distanceCost(engine)
-                            + TIE_COST_NANOS * mRandom.nextDouble();
-            if (best == null || cost < bestCost) {
-                best = engine;
-                bestCost = cost;
-            }
+    private boolean mayRepeat(StreamRun run, AttemptEnd end, long nowNanos) {
+        if (end == AttemptEnd.UNREACHABLE) {
+            return true;
+        }
+        if (end.isNotRun()) {
+            return run.rejected() < MAX_REJECTIONS && mRetries.tryRetry(nowNanos);
         }
-        return best;
+        return run.work().kind().isRepeatable()
+                && run.ran() < run.work().maxAttempts()
+                && mRetries.tryRetry(nowNanos);
     }
 
-    /** Chooses the engine that keeps a copy: in another zone, with the most room. */
-    private @Nullable EngineState chooseKeeper(EngineState engine, Stream stream, long nowNanos) {
-        if (!mSpec.keepsCopies() || !stream.mWork.kind().isRepeatable()) {
+    /** Returns the engine whose copy the next attempt can continue from, if there is one. */
+    private @Nullable EngineState usefulKeeper(StreamRun run, AttemptEnd end, long nowNanos) {
+        EngineState keeper = run.keeper();
+        boolean lost = end == AttemptEnd.RESET || end == AttemptEnd.LOST;
+        boolean filled = run.hasOutput() || nowNanos - run.startedAt() > NO_COPY_NANOS;
+        if (keeper == null || !lost || !filled || !mBoard.isUsable(keeper, nowNanos)) {
             return null;
         }
-        EngineState best = null;
-        double bestCost = 0;
-        for (EngineState other : mEngines.values()) {
-            if (other == engine
-                    || other.upstream().zone().equals(engine.upstream().zone())
-                    || !isUsable(other, nowNanos)) {
-                continue;
-            }
-            double fill = (double) (other.memory() + stream.mMemory) / mSpec.memoryTokens();
-            if (fill > MEMORY_PART) {
-                continue;
-            }
-            double cost = fill + 0.01 * mRandom.nextDouble();
-            if (best == null || cost < bestCost) {
-                best = other;
-                bestCost = cost;
-            }
-        }
-        return best;
+        return keeper;
     }
 
-    private static boolean isUsable(EngineState engine, long nowNanos) {
-        return !engine.upstream().draining() && !engine.reachability().isResting(nowNanos);
+    private boolean isSilent(StreamRun run, long nowNanos) {
+        EngineState engine = run.engine();
+        if (engine == null || !run.work().kind().isRepeatable()) {
+            return false;
+        }
+        if (run.hasOutput()) {
+            return nowNanos - run.lastOutput() > mPace.silenceNanos();
+        }
+        long expected = run.expectedAt() - run.startedAt();
+        long overdue = Math.round(expected * OVERDUE_FACTOR) + OVERDUE_MARGIN_NANOS;
+        return nowNanos - run.startedAt() > overdue
+                && !engine.hasOutputSince(nowNanos - mPace.silenceNanos());
     }
 
-    private long distanceCost(EngineState engine) {
-        return switch (mLocations.distance(engine.upstream().zone())) {
-            case SAME_ZONE -> 0;
-            case SAME_REGION -> ZONE_COST_NANOS;
-            case OTHER_REGION -> REGION_COST_NANOS;
-        };
+    private void dispatch(long nowNanos) {
+        if (mWaiting.isEmpty()) {
+            return;
+        }
+        mWaiting.sort(ORDER);
+        for (StreamRun run : List.copyOf(mWaiting)) {
+            EngineState engine = mChoice.engine(run, nowNanos);
+            if (engine != null) {
+                mWaiting.remove(run);
+                start(run, engine, null, "least time until the first output", nowNanos);
+            } else if (mBoard.engines().isEmpty()) {
+                Ending ending = run.ran() == 0 ? Ending.REFUSED : Ending.UNKNOWN;
+                finish(run, ending, NO_ENGINE_RETRY, "no engine is listed");
+            }
+        }
     }
 
     private void start(
-            Stream stream,
+            StreamRun run,
             EngineState engine,
             @Nullable MemoryCopy copy,
             String reason,
             long nowNanos) {
-        EngineState keeper = chooseKeeper(engine, stream, nowNanos);
-        stream.mAttempt++;
-        stream.mEngine = engine;
-        stream.mKeeper = keeper;
-        stream.mHasOutput = false;
-        stream.mStartedAt = nowNanos;
-        stream.mLastOutput = nowNanos;
-        stream.mPrompt = copy == null ? stream.mPromptTokens : 0;
-        stream.mFirstInLine = engine.backlog(mPace.tokensPerNano(), nowNanos) == 0 && copy == null;
-        engine.own(stream.mWork.id(), load(stream, true));
-        if (keeper != null) {
-            keeper.own(
-                    -stream.mWork.id(),
-                    new EngineState.Load(nowNanos, 0, stream.mMemory, false, true));
-        }
+        EngineState keeper = mChoice.keeper(engine, run, nowNanos);
+        long backlog = engine.backlog(mPace.tokensPerNano(), nowNanos);
+        int toRead = copy == null ? run.promptTokens() : 0;
+        String why = reason + "; " + describe(engine, backlog);
+        long expected = nowNanos + backlog + Math.round(toRead / mPace.tokensPerNano());
+        run.started(engine, keeper, toRead, backlog == 0 && copy == null, expected, nowNanos);
+        mShareChanges++;
         mDue.add(
                 new Decision.Start(
-                        stream.mWork,
-                        stream.mAttempt,
+                        run.work(),
+                        run.attempt(),
                         engine.upstream(),
-                        Math.min(LEAST_URGENT, stream.mWork.priority()),
+                        copy == null ? Math.min(LEAST_URGENT, 1 + run.work().priority()) : 0,
                         keeper == null ? null : keeper.upstream(),
                         copy,
-                        reason));
+                        why));
     }
 
-    private static EngineState.Load load(Stream stream, boolean reading) {
-        return new EngineState.Load(
-                stream.mStartedAt, stream.mPrompt, stream.mMemory, reading, false);
+    private String describe(EngineState engine, long backlogNanos) {
+        return String.format(
+                Locale.ROOT,
+                "%d running, %d ms to read, %d of %d tokens of memory planned",
+                engine.running(),
+                backlogNanos / EngineState.NANOS_PER_MILLI,
+                engine.memory(),
+                mSpec.memoryTokens());
     }
 
-    private void release(Stream stream) {
-        if (stream.mEngine != null) {
-            stream.mEngine.withoutOwn(stream.mWork.id());
-            stream.mEngine = null;
-        }
-        if (stream.mKeeper != null) {
-            stream.mKeeper.withoutOwn(-stream.mWork.id());
-            stream.mKeeper = null;
-        }
-    }
-
-    private void finish(
-            Stream stream, Ending ending, Duration retryAfter, String reason, long nowNanos) {
-        mDue.add(new Decision.Finish(stream.mWork, ending, retryAfter, reason));
-        mStreams.remove(stream.mWork.id());
-        mWaiting.remove(stream);
-        release(stream);
-    }
-
-    /** State of a generation. */
-    private static final class Stream {
-        /** Interrupted streams first, then by rank, then by arrival. */
-        static final Comparator<Stream> ORDER =
-                Comparator.<Stream>comparingInt(stream -> stream.mResumed ? 0 : 1)
-                        .thenComparingInt(stream -> stream.mWork.priority())
-                        .thenComparingLong(stream -> stream.mWork.arrivedNanos());
-
-        final Work mWork;
-        final int mPromptTokens;
-        final int mMemory;
-        int mAttempt;
-        int mUnrun;
-        int mRan;
-        boolean mResumed;
-
-        // State of the running attempt.
-        @Nullable EngineState mEngine;
-        @Nullable EngineState mKeeper;
-        int mPrompt;
-        long mEvents;
-        long mStartedAt;
-        long mLastOutput;
-        boolean mHasOutput;
-        boolean mFirstInLine;
-
-        Stream(Work work) {
-            mWork = work;
-            GenerationShape shape = work.generation();
-            mPromptTokens = shape == null ? 0 : shape.promptTokens();
-            mMemory = shape == null ? 0 : shape.promptTokens() + shape.expectedOutputTokens();
-        }
+    private void finish(StreamRun run, Ending ending, Duration retryAfter, String reason) {
+        mDue.add(new Decision.Finish(run.work(), ending, retryAfter, reason));
+        mRuns.remove(run.work().id());
+        mWaiting.remove(run);
+        run.released();
+        mShareChanges++;
     }
 }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/ZoneLosses.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/ZoneLosses.java
@@ -5,8 +5,10 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -71,5 +73,23 @@
         return false;
     }
 
+    /**
+     * Returns the time of the latest loss that belongs to a failure of the zone.
+     *
+     * @param zone the zone
+     * @return time of the loss, or empty when no failure is remembered
+     */
+    public OptionalLong lastFailure(String zone) {
+        Deque<Lost> lost = mLost.getOrDefault(zone, new ArrayDeque<>());
+        Iterator<Lost> latestFirst = lost.descendingIterator();
+        while (latestFirst.hasNext()) {
+            long at = latestFirst.next().atNanos();
+            if (isZoneFailure(zone, at)) {
+                return OptionalLong.of(at);
+            }
+        }
+        return OptionalLong.empty();
+    }
+
     private record Lost(int engine, long atNanos) {}
 }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/GatewaySettings.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/GatewaySettings.java
@@ -2,8 +2,10 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import org.gentianwalk.core.dispatch.LocationMap;
 import org.gentianwalk.core.dispatch.RetryBounds;
+import org.gentianwalk.server.mesh.MeshKey;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -14,6 +16,7 @@
  * @param callers address on which callers are served
  * @param readiness address on which the balancer asks for readiness
  * @param metrics address on which metrics are served, or null for none
+ * @param mesh how the instance talks to the others
  * @param store address of the shared store
  * @param retries the fleet's bounds on further attempts
  * @param stopGrace time from the request to stop until the process is killed
@@ -24,6 +27,19 @@
         InetSocketAddress callers,
         InetSocketAddress readiness,
         @Nullable InetSocketAddress metrics,
+        Mesh mesh,
         String store,
         RetryBounds retries,
-        Duration stopGrace) {}
+        Duration stopGrace) {
+    /**
+     * Settings of the mesh between instances.
+     *
+     * @param address address on which the other instances reach this one
+     * @param keys keys shared by all instances, the signing one first
+     */
+    public record Mesh(InetSocketAddress address, List<MeshKey> keys) {
+        public Mesh {
+            keys = List.copyOf(keys);
+        }
+    }
+}
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -1,7 +1,9 @@
 package org.gentianwalk.gateway.control;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +14,8 @@
 import org.gentianwalk.core.dispatch.CallScheduler;
 import org.gentianwalk.core.dispatch.Decision;
 import org.gentianwalk.core.dispatch.Decision.Ending;
+import org.gentianwalk.core.dispatch.LoadShare;
+import org.gentianwalk.core.dispatch.LoadSharing;
 import org.gentianwalk.core.dispatch.Progress;
 import org.gentianwalk.core.dispatch.RetryAllowance;
 import org.gentianwalk.core.dispatch.StreamScheduler;
@@ -23,6 +27,9 @@
 import org.gentianwalk.core.route.ServiceSpec;
 import org.gentianwalk.core.time.Ticker;
 import org.gentianwalk.gateway.GatewaySettings;
+import org.gentianwalk.gateway.fleet.FleetLink;
+import org.gentianwalk.gateway.fleet.LoadListener;
+import org.gentianwalk.gateway.log.GatewayLog;
 import org.gentianwalk.gateway.store.RowStore;
 import org.gentianwalk.gateway.store.RowStore.Row;
 import org.gentianwalk.gateway.store.SharedRows;
@@ -35,7 +42,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** Owns the control state of an instance. Everything but the public methods runs on one thread. */
-public final class ControlPlane implements ControlPort {
+public final class ControlPlane implements ControlPort, LoadListener {
     private static final Logger LOG = Logger.getLogger(ControlPlane.class);
 
     /** Time between two looks at what is due. */
@@ -65,7 +72,10 @@
     private final UpstreamDirectory mDirectory = new UpstreamDirectory();
     private final Map<String, WorkScheduler> mSchedulers = new HashMap<>();
     private final Map<Long, Request> mRequests = new HashMap<>();
+    private final List<RetryAllowance> mRetries = new ArrayList<>();
+    private final GatewayLog mLog = new GatewayLog();
     private final List<TableWatcher> mWatchers = new ArrayList<>();
+    private @Nullable FleetLink mFleet;
     private volatile @Nullable RouteTable mTable;
 
     /**
@@ -94,8 +104,9 @@
      * Starts to follow the shared store.
      *
      * @param store the store
+     * @throws IOException if the address of the mesh can't be bound
      */
-    public void start(RowStore store) {
+    public void start(RowStore store) throws IOException {
         TableWatcher.WatchTimes config =
                 new TableWatcher.WatchTimes(WATCH_WAIT, STORE_TIMEOUT, CONFIG_PAUSE);
         TableWatcher.WatchTimes upstreams =
@@ -105,6 +116,9 @@
         mWatchers.add(
                 new TableWatcher(
                         store, mRows.upstreamTable(), new UpstreamRows(), mControl, upstreams));
+        FleetLink fleet = new FleetLink(mSettings, this, store, mControl, mTicker, mLog);
+        fleet.start(mSettings.mesh().address());
+        mFleet = fleet;
         mControl.execute(() -> mWatchers.forEach(TableWatcher::start));
         mControl.scheduleWithFixedDelay(
                 this::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
@@ -145,9 +159,7 @@
                         return;
                     }
                     if (end != AttemptEnd.SUCCEEDED) {
-                        LOG.infof(
-                                "attempt %d of %s ended: %s (%s)",
-                                attempt, request.work().requestId(), end, cause);
+                        mLog.attemptEnded(request.work(), attempt, end, cause, mTicker.nanos());
                     }
                     request.scheduler().attemptEnded(work, attempt, end, mTicker.nanos());
                     if (end == AttemptEnd.SUCCEEDED) {
@@ -163,6 +175,7 @@
                 () -> {
                     Request request = mRequests.remove(work);
                     if (request != null) {
+                        mLog.withdrawn(request.work(), mTicker.nanos());
                         request.scheduler().withdrawn(work, mTicker.nanos());
                         carryOut(request.scheduler());
                     }
@@ -190,12 +203,61 @@
             for (WorkScheduler scheduler : mSchedulers.values()) {
                 carryOut(scheduler);
             }
+            exchange();
         } catch (RuntimeException e) {
             // A periodic task that throws would never run again.
             LOG.error("a tick of the control thread failed", e);
         }
     }
 
+    private void exchange() {
+        FleetLink fleet = mFleet;
+        if (fleet != null) {
+            fleet.advance();
+            mRetries.forEach(retries -> retries.instances(fleet.instances()));
+        }
+    }
+
+    @Override
+    public long shareChanges() {
+        long changes = 0;
+        for (WorkScheduler scheduler : mSchedulers.values()) {
+            changes += scheduler instanceof LoadSharing sharing ? sharing.shareChanges() : 0;
+        }
+        return changes;
+    }
+
+    @Override
+    public List<LoadShare> shares() {
+        List<LoadShare> shares = new ArrayList<>();
+        for (WorkScheduler scheduler : mSchedulers.values()) {
+            if (scheduler instanceof LoadSharing sharing) {
+                shares.add(sharing.share(mTicker.nanos()));
+            }
+        }
+        return shares;
+    }
+
+    @Override
+    public void peerShares(String instance, List<LoadShare> shares) {
+        for (LoadShare share : shares) {
+            WorkScheduler scheduler = mSchedulers.get(share.service());
+            if (scheduler instanceof LoadSharing sharing) {
+                sharing.peerShare(instance, share, mTicker.nanos());
+                carryOut(scheduler);
+            }
+        }
+    }
+
+    @Override
+    public void peers(Collection<String> instances) {
+        for (WorkScheduler scheduler : mSchedulers.values()) {
+            if (scheduler instanceof LoadSharing sharing) {
+                sharing.retainPeers(instances);
+            }
+        }
+    }
+
     private void carryOut(WorkScheduler scheduler) {
         for (Decision decision : scheduler.advance(mTicker.nanos())) {
             Request request = mRequests.get(decision.work().id());
@@ -204,16 +266,18 @@
             }
             Exchange exchange = request.exchange();
             switch (decision) {
-                case Decision.Start start -> mTraffic.execute(() -> exchange.start(start));
+                case Decision.Start start -> {
+                    mLog.placed(start, version(), mTicker.nanos());
+                    mTraffic.execute(() -> exchange.start(start));
+                }
                 case Decision.Finish finish -> {
-                    LOG.infof(
-                            "request %s ends: %s (%s)",
-                            finish.work().requestId(), finish.ending(), finish.reason());
+                    mLog.finished(finish, mTicker.nanos());
                     mRequests.remove(finish.work().id());
                     mTraffic.execute(() -> exchange.finish(finish));
                 }
             }
         }
+        exchange();
     }
 
     private void applyDirectory() {
@@ -234,17 +298,31 @@
             mSchedulers.computeIfAbsent(service.name(), name -> scheduler(service));
         }
         mTable = table;
-        LOG.infof("configuration %d is in force", table.version());
+        mLog.adopted(
+                current == null ? 0 : current.version(),
+                table.version(),
+                table.routeCount(),
+                "store");
+    }
+
+    private long version() {
+        RouteTable table = mTable;
+        return table == null ? 0 : table.version();
     }
 
     private WorkScheduler scheduler(ServiceSpec service) {
         RetryAllowance retries = new RetryAllowance(mSettings.retries());
+        mRetries.add(retries);
         java.util.Random random = new java.util.Random();
         WorkScheduler scheduler =
                 service.engine() == null
                         ? new CallScheduler(mSettings.locations(), retries, random)
                         : new StreamScheduler(
-                                service.engine(), mSettings.locations(), retries, random);
+                                service.name(),
+                                service.engine(),
+                                mSettings.locations(),
+                                retries,
+                                random);
         scheduler.upstreams(mDirectory.upstreams(service.name()), mTicker.nanos());
         return scheduler;
     }
@@ -274,14 +352,14 @@
                 try {
                     adopt(mRows.configuration(row.value()));
                 } catch (UnreadableRowException e) {
-                    LOG.warnf(e, "a configuration can't be read; the one before stays in force");
+                    mLog.unreadable(row.key(), String.valueOf(e.getMessage()));
                 }
             }
         }
 
         @Override
         public void lost(String reason) {
-            LOG.warnf("the configuration can't be read: %s", reason);
+            mLog.lost("configuration", reason);
         }
     }
 
@@ -306,8 +384,10 @@
             for (Row row : rows) {
                 Upstream upstream = row.removed() ? null : read(row);
                 if (upstream == null) {
+                    mLog.unlisted(row.key());
                     mDirectory.removed(row.key(), mTicker.nanos());
                 } else {
+                    mLog.listed(upstream);
                     mDirectory.put(upstream, mTicker.nanos());
                 }
             }
@@ -316,7 +396,7 @@
 
         @Override
         public void lost(String reason) {
-            LOG.warnf("the list of upstreams can't be read: %s", reason);
+            mLog.lost("list of upstreams", reason);
             mDirectory.lost(mTicker.nanos());
         }
 
@@ -324,7 +404,7 @@
             try {
                 return mRows.upstream(row.key(), row.value());
             } catch (UnreadableRowException e) {
-                LOG.warnf("the entry of upstream %s is not used: %s", row.key(), e.getMessage());
+                mLog.unreadable(row.key(), String.valueOf(e.getMessage()));
                 return null;
             }
         }
--- /dev/null
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/FleetLink.java
@@ -0,0 +1,215 @@
+package org.gentianwalk.gateway.fleet;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.gentianwalk.core.membership.Member;
+import org.gentianwalk.core.membership.MemberView;
+import org.gentianwalk.core.membership.Membership;
+import org.gentianwalk.core.membership.MembershipOptions;
+import org.gentianwalk.core.model.Location;
+import org.gentianwalk.core.platform.InstanceList;
+import org.gentianwalk.core.time.Ticker;
+import org.gentianwalk.gateway.GatewaySettings;
+import org.gentianwalk.gateway.log.GatewayLog;
+import org.gentianwalk.gateway.store.RowStore;
+import org.gentianwalk.gateway.store.RowStore.Result;
+import org.gentianwalk.gateway.store.RowStore.Row;
+import org.gentianwalk.proto.MemberState;
+import org.gentianwalk.proto.MemberUpdate;
+import org.gentianwalk.server.mesh.MembershipDriver;
+import org.gentianwalk.server.mesh.MeshException;
+import org.gentianwalk.server.mesh.MeshNode;
+import org.gentianwalk.server.mesh.MeshOptions;
+import org.gentianwalk.server.mesh.MeshSender;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Connects this instance with the others. They find each other through a table of the shared store
+ * and from then on through each other.
+ */
+public final class FleetLink implements AutoCloseable {
+    /** Table in which each instance leaves a row with its address. */
+    private static final String TABLE = "gentianwalk-instances";
+
+    private static final Duration STORE_TIMEOUT = Duration.ofMillis(1_500);
+    private static final Duration RETRY = Duration.ofMillis(500);
+
+    private final RowStore mStore;
+    private final ScheduledExecutorService mControl;
+    private final GatewayLog mLog;
+    private final Member mSelf;
+    private final MeshNode mMesh;
+    private final MembershipDriver mDriver;
+    private final LoadExchange mLoads;
+    private volatile int mInstances = 1;
+
+    /**
+     * Creates a link that is not connected.
+     *
+     * @param settings settings of the instance; the address of the mesh must be set
+     * @param listener gives and takes loads
+     * @param store the shared store
+     * @param control the control thread
+     * @param ticker clock
+     * @param log takes lines
+     */
+    public FleetLink(
+            GatewaySettings settings,
+            LoadListener listener,
+            RowStore store,
+            ScheduledExecutorService control,
+            Ticker ticker,
+            GatewayLog log) {
+        mStore = store;
+        mControl = control;
+        mLog = log;
+        InetSocketAddress address = settings.mesh().address();
+        long incarnation = System.currentTimeMillis();
+        mSelf =
+                new Member(
+                        settings.name(),
+                        address.getHostString() + ":" + address.getPort(),
+                        settings.locations().own(),
+                        incarnation,
+                        0,
+                        Member.Health.ALIVE,
+                        false,
+                        0);
+        mMesh =
+                new MeshNode(
+                        new MeshSender(settings.name(), incarnation),
+                        settings.mesh().keys(),
+                        MeshOptions.DEFAULT,
+                        new MetricRegistry());
+        Membership membership = new Membership(mSelf, MembershipOptions.DEFAULT, incarnation);
+        mDriver = new MembershipDriver(membership, mMesh, control, ticker);
+        mLoads = new LoadExchange(mMesh, mSelf, listener, control, ticker);
+    }
+
+    /**
+     * Starts to listen, announces this instance and looks for the others.
+     *
+     * @param address where to listen
+     * @throws IOException if the address can't be bound
+     */
+    public void start(InetSocketAddress address) throws IOException {
+        try {
+            mMesh.listen(address);
+        } catch (MeshException e) {
+            throw new IOException(e.getMessage(), e);
+        }
+        mDriver.addListener(this::members);
+        mDriver.start();
+        mControl.execute(this::announce);
+    }
+
+    /** Sends what is due. To be called on the control thread, at least every 50 ms. */
+    public void advance() {
+        mLoads.advance();
+    }
+
+    /**
+     * Returns the number of instances.
+     *
+     * @return live instances, this one included
+     */
+    public int instances() {
+        return mInstances;
+    }
+
+    /** Tells the others that this instance is about to stop, and removes its row. */
+    public void leave() {
+        mDriver.leave();
+        mStore.write(TABLE, mSelf.id(), null, STORE_TIMEOUT);
+    }
+
+    @Override
+    public void close() {
+        mDriver.close();
+        mMesh.close();
+    }
+
+    private void members(MemberView view) {
+        mInstances = view.members().size();
+        mLoads.members(view);
+    }
+
+    private void announce() {
+        byte[] row =
+                MemberUpdate.newBuilder()
+                        .setInstance(mSelf.id())
+                        .setAddress(mSelf.address())
+                        .setAvailabilityZone(mSelf.location().availabilityZone())
+                        .setRegion(mSelf.location().region())
+                        .setIncarnation(mSelf.incarnation())
+                        .setState(MemberState.ALIVE)
+                        .build()
+                        .toByteArray();
+        mStore.write(TABLE, mSelf.id(), row, STORE_TIMEOUT)
+                .thenAcceptAsync(
+                        result -> {
+                            if (result instanceof Result.Rows) {
+                                find();
+                            } else {
+                                later(this::announce);
+                            }
+                        },
+                        mControl);
+    }
+
+    private void find() {
+        mStore.read(TABLE, "", STORE_TIMEOUT)
+                .thenAcceptAsync(
+                        result -> {
+                            if (result instanceof Result.Rows rows) {
+                                mDriver.list(entries(rows.rows()));
+                            } else {
+                                later(this::find);
+                            }
+                        },
+                        mControl);
+    }
+
+    private void later(Runnable task) {
+        mControl.schedule(task, RETRY.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private List<InstanceList.Entry> entries(List<Row> rows) {
+        List<InstanceList.Entry> entries = new ArrayList<>();
+        for (Row row : rows) {
+            MemberUpdate update = parse(row);
+            if (update == null || update.getInstance().equals(mSelf.id())) {
+                continue;
+            }
+            entries.add(
+                    new InstanceList.Entry(
+                            update.getInstance(),
+                            InstanceList.Kind.INSTANCE,
+                            update.getAddress(),
+                            new Location(update.getRegion(), update.getAvailabilityZone()),
+                            InstanceList.State.LIVE));
+        }
+        return entries;
+    }
+
+    private @Nullable MemberUpdate parse(Row row) {
+        try {
+            MemberUpdate update = MemberUpdate.parseFrom(row.value());
+            if (update.getAddress().isEmpty() || update.getRegion().isEmpty()) {
+                mLog.unreadable(row.key(), "the row of the instance is not complete");
+                return null;
+            }
+            return update;
+        } catch (InvalidProtocolBufferException e) {
+            mLog.unreadable(row.key(), String.valueOf(e.getMessage()));
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
@@ -0,0 +1,187 @@
+package org.gentianwalk.gateway.log;
+
+import java.util.Locale;
+import org.gentianwalk.core.dispatch.AttemptEnd;
+import org.gentianwalk.core.dispatch.Decision;
+import org.gentianwalk.core.dispatch.Upstream;
+import org.gentianwalk.core.dispatch.Work;
+import org.gentianwalk.server.log.Fields;
+import org.jboss.logging.Logger;
+
+/**
+ * Writes one line for each decision about a request and for each change of what the instance
+ * believes. It takes neither bodies nor keys, so that they can't get into a line. Safe for any
+ * thread.
+ */
+public final class GatewayLog {
+    private static final Logger LOG = Logger.getLogger("org.gentianwalk.decision");
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    /** Creates the log. */
+    public GatewayLog() {}
+
+    /**
+     * Logs that an attempt was placed.
+     *
+     * @param start the decision
+     * @param version configuration in force
+     * @param nowNanos current time
+     */
+    public void placed(Decision.Start start, long version, long nowNanos) {
+        Fields fields =
+                request(start.work(), nowNanos)
+                        .with("attempt", start.attempt())
+                        .with("upstream", start.upstream().id())
+                        .with("zone", start.upstream().zone())
+                        .with("config", version)
+                        .with("reason", start.reason());
+        if (start.copyKeeper() != null) {
+            fields.with("copy_at", start.copyKeeper().id());
+        }
+        if (start.copy() != null) {
+            fields.with("continues_from", start.copy().address());
+        }
+        LOG.infov("placed", fields);
+    }
+
+    /**
+     * Logs that an attempt ended without the answer being delivered.
+     *
+     * @param work the request
+     * @param attempt number of the attempt
+     * @param end how it ended
+     * @param cause what was seen
+     * @param nowNanos current time
+     */
+    public void attemptEnded(Work work, int attempt, AttemptEnd end, String cause, long nowNanos) {
+        LOG.infov(
+                "attempt ended",
+                request(work, nowNanos)
+                        .with("attempt", attempt)
+                        .with("end", end.name().toLowerCase(Locale.ROOT))
+                        .with("cause", cause));
+    }
+
+    /**
+     * Logs that a request gets a final answer of this instance, or an upstream's error.
+     *
+     * @param finish the decision
+     * @param nowNanos current time
+     */
+    public void finished(Decision.Finish finish, long nowNanos) {
+        LOG.infov(
+                "finished",
+                request(finish.work(), nowNanos)
+                        .with("result", finish.ending().name().toLowerCase(Locale.ROOT))
+                        .with("retry_after_ms", finish.retryAfter().toMillis())
+                        .with("reason", finish.reason()));
+    }
+
+    /**
+     * Logs that a caller left before it had its answer.
+     *
+     * @param work the request
+     * @param nowNanos current time
+     */
+    public void withdrawn(Work work, long nowNanos) {
+        LOG.infov("caller gone", request(work, nowNanos));
+    }
+
+    /**
+     * Logs that a configuration is in force.
+     *
+     * @param before version before, or 0
+     * @param version version now
+     * @param routes its routes
+     * @param source where it came from
+     */
+    public void adopted(long before, long version, int routes, String source) {
+        LOG.infov(
+                "configuration in force",
+                new Fields()
+                        .with("before", before)
+                        .with("config", version)
+                        .with("routes", routes)
+                        .with("source", source));
+    }
+
+    /**
+     * Logs a new or changed entry of the list of upstreams.
+     *
+     * @param upstream the entry
+     */
+    public void listed(Upstream upstream) {
+        LOG.infov(
+                "upstream listed",
+                new Fields()
+                        .with("upstream", upstream.id())
+                        .with("service", upstream.service())
+                        .with("address", upstream.address())
+                        .with("zone", upstream.zone())
+                        .with("incarnation", upstream.incarnation())
+                        .with("state", upstream.draining() ? "draining" : "ready"));
+    }
+
+    /**
+     * Logs that an entry of the list of upstreams is gone.
+     *
+     * @param id identifier of the upstream
+     */
+    public void unlisted(String id) {
+        LOG.infov("upstream removed from the list", new Fields().with("upstream", id));
+    }
+
+    /**
+     * Logs an entry that can't be used.
+     *
+     * @param what the row
+     * @param reason what is wrong with it
+     */
+    public void unreadable(String what, String reason) {
+        LOG.warnv("row not used", new Fields().with("row", what).with("reason", reason));
+    }
+
+    /**
+     * Logs that something the instance depends on can't be reached.
+     *
+     * @param dependency its name
+     * @param reason what was seen
+     */
+    public void lost(String dependency, String reason) {
+        LOG.warnv(
+                "dependency lost",
+                new Fields().with("dependency", dependency).with("reason", reason));
+    }
+
+    /**
+     * Logs that something the instance depends on can be reached again.
+     *
+     * @param dependency its name
+     * @param awayMillis how long it was away, milliseconds
+     */
+    public void regained(String dependency, long awayMillis) {
+        LOG.infov(
+                "dependency regained",
+                new Fields().with("dependency", dependency).with("away_ms", awayMillis));
+    }
+
+    /**
+     * Logs a change of the instance's own state.
+     *
+     * @param what the change, such as {@code started} or {@code stopping}
+     * @param reason why
+     */
+    public void instance(String what, String reason) {
+        LOG.infov("instance " + what, new Fields().with("reason", reason));
+    }
+
+    private static Fields request(Work work, long nowNanos) {
+        return new Fields()
+                .with("request", work.requestId())
+                .with("service", work.service())
+                .with("team", work.team())
+                .with("kind", work.kind().name().toLowerCase(Locale.ROOT))
+                .with("priority", work.priority())
+                .with("age_ms", (nowNanos - work.arrivedNanos()) / NANOS_PER_MILLI);
+    }
+}
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/settings/SettingsReader.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/settings/SettingsReader.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -16,7 +17,7 @@
 import org.gentianwalk.core.dispatch.RetryBounds;
 import org.gentianwalk.core.model.Location;
 import org.gentianwalk.gateway.GatewaySettings;
-import org.jspecify.annotations.Nullable;
+import org.gentianwalk.server.mesh.MeshKey;
 
 /**
  * Reads and checks the settings file of an instance, in YAML. Unknown keys, missing ones and values
@@ -35,6 +36,7 @@
                     "readiness",
                     "metrics",
                     "mesh",
+                    "mesh_keys",
                     "mesh_seeds",
                     "store",
                     "heartbeat_ms",
@@ -91,6 +93,7 @@
                 address(root, "callers"),
                 address(root, "readiness"),
                 root.hasNonNull("metrics") ? address(root, "metrics") : null,
+                new GatewaySettings.Mesh(address(root, "mesh"), keys(root)),
                 addressText(root, "store"),
                 new RetryBounds(
                         number(root, "retry_ratio", DEFAULT_RETRY_RATIO, 0, 10),
@@ -163,11 +166,23 @@
         return value.asDouble();
     }
 
-    static List<String> list(@Nullable JsonNode value) {
-        List<String> texts = new ArrayList<>();
-        if (value != null) {
-            value.forEach(entry -> texts.add(entry.asText()));
+    private static List<MeshKey> keys(JsonNode root) throws SettingsException {
+        JsonNode keys = root.path("mesh_keys");
+        if (!keys.isObject() || keys.isEmpty()) {
+            throw new SettingsException(
+                    "key mesh_keys must map the name of each key to its secret");
+        }
+        List<MeshKey> found = new ArrayList<>();
+        for (Map.Entry<String, JsonNode> key : keys.properties()) {
+            byte[] secret = key.getValue().asText().getBytes(StandardCharsets.UTF_8);
+            if (key.getKey().isEmpty() || secret.length < MeshKey.MIN_LENGTH) {
+                throw new SettingsException(
+                        "each secret of mesh_keys needs a name and at least "
+                                + MeshKey.MIN_LENGTH
+                                + " bytes");
+            }
+            found.add(new MeshKey(key.getKey(), secret));
         }
-        return texts;
+        return found;
     }
 }
