Model a fleet before batching engines on virtual time; test routing, calls, directory and retries

Change: bench.fleet runs the schedulers of all instances against engines that read one prompt at a time, with patterns of load and failure; CallScheduler weighs expected time instead of parts of slots and uses the load that upstreams state; delivered answers are logged.

--- /dev/null
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/FleetTraits.java
@@ -0,0 +1,102 @@
+package org.gentianwalk.bench.fleet;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * A deployment to be modelled.
+ *
+ * @param name its name
+ * @param zones the region of each availability zone
+ * @param instances instances in each zone
+ * @param engines model engines in each zone
+ * @param engine properties of the engines
+ * @param kinds the kinds of request
+ * @param zoneMillis one-way time between zones of a region, milliseconds
+ * @param regionMillis one-way time between regions, milliseconds
+ */
+public record FleetTraits(
+        String name,
+        Map<String, String> zones,
+        int instances,
+        int engines,
+        EngineTraits engine,
+        List<Kind> kinds,
+        double zoneMillis,
+        double regionMillis) {
+    public FleetTraits {
+        zones = Map.copyOf(zones);
+        kinds = List.copyOf(kinds);
+    }
+
+    /**
+     * A kind of request.
+     *
+     * @param name its name
+     * @param priority its rank, 0 first
+     * @param perSecond requests a second of the whole fleet
+     * @param targetMillis time to the first event that is on time
+     * @param pauseMillis longest pause between events that is on time
+     * @param deadlineMillis how long a caller waits for the whole answer
+     * @param worth value of an answer on time
+     * @param lateWorth value of a late answer
+     */
+    public record Kind(
+            String name,
+            int priority,
+            double perSecond,
+            long targetMillis,
+            long pauseMillis,
+            long deadlineMillis,
+            double worth,
+            double lateWorth) {}
+
+    /**
+     * Returns the region of a zone.
+     *
+     * @param zone the zone
+     * @return its region
+     */
+    String region(String zone) {
+        return Objects.requireNonNull(zones.get(zone), zone);
+    }
+
+    /**
+     * Returns the deployment of the catalogue consortium.
+     *
+     * @return nine instances and 36 engines in three zones
+     */
+    public static FleetTraits kvali() {
+        return new FleetTraits(
+                "kvali",
+                Map.of("a", "near", "b", "near", "c", "far"),
+                3,
+                8,
+                new EngineTraits(16, 33, 88_000, 6, 5.18, 0.0367, 8, 200),
+                List.of(
+                        new Kind("quote", 0, 0.62, 4_000, 700, 25_000, 140, 1.8),
+                        new Kind("refresh", 2, 5.28, 10_000, 700, 25_000, 38, 1.7)),
+                1.4,
+                12);
+    }
+
+    /**
+     * Returns the deployment of the renewal desk.
+     *
+     * @return six instances and 17 engines in three zones
+     */
+    public static FleetTraits vanDaele() {
+        return new FleetTraits(
+                "van-daele",
+                Map.of("a", "near", "b", "near", "c", "far"),
+                2,
+                6,
+                new EngineTraits(24, 33, 88_000, 9, 3.37, 0.0367, 8, 200),
+                List.of(
+                        new Kind("renewal", 0, 0.294, 4_000, 700, 25_000, 240, 2.9),
+                        new Kind("amendment", 2, 3.64, 10_000, 700, 25_000, 64, 2.9)),
+                1.4,
+                12);
+    }
+}
--- /dev/null
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/RequestModel.java
@@ -0,0 +1,106 @@
+package org.gentianwalk.bench.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.gentianwalk.bench.clock.VirtualClock;
+
+/** A caller's request, over all its tries. */
+final class RequestModel {
+    private final long mId;
+    private final FleetTraits.Kind mKind;
+    private final FleetResult.KindResult mResult;
+    private final int mPrompt;
+    private final int mOutput;
+    private final long mArrivedAt;
+    private int mRefusals;
+    private int mEvents;
+    private long mFirstAt;
+    private long mLastAt;
+    private long mLongestPause;
+    private final List<String> mNotes = new ArrayList<>();
+
+    RequestModel(
+            long id,
+            FleetTraits.Kind kind,
+            FleetResult.KindResult result,
+            int prompt,
+            int output,
+            long arrivedAt) {
+        mId = id;
+        mKind = kind;
+        mResult = result;
+        mPrompt = prompt;
+        mOutput = output;
+        mArrivedAt = arrivedAt;
+    }
+
+    long id() {
+        return mId;
+    }
+
+    FleetTraits.Kind kind() {
+        return mKind;
+    }
+
+    int prompt() {
+        return mPrompt;
+    }
+
+    int output() {
+        return mOutput;
+    }
+
+    long arrivedAt() {
+        return mArrivedAt;
+    }
+
+    /** Number of the last event that the caller has. */
+    int events() {
+        return mEvents;
+    }
+
+    /** Adds a line to the request's history. */
+    void note(long now, String text) {
+        mNotes.add(now / VirtualClock.MILLI + " ms: " + text);
+    }
+
+    void event(int number, long now) {
+        if (number <= mEvents) {
+            return;
+        }
+        if (mEvents == 0) {
+            mFirstAt = now;
+        } else {
+            mLongestPause = Math.max(mLongestPause, now - mLastAt);
+        }
+        mEvents = number;
+        mLastAt = now;
+    }
+
+    void finished() {
+        long first = (mFirstAt - mArrivedAt) / VirtualClock.MILLI;
+        boolean onTime =
+                first <= mKind.targetMillis()
+                        && mLongestPause <= mKind.pauseMillis() * VirtualClock.MILLI;
+        mResult.whole(onTime, first);
+        if (!onTime) {
+            note(mLastAt, "late, longest pause " + mLongestPause / VirtualClock.MILLI + " ms");
+            mResult.history(mNotes);
+        }
+    }
+
+    /** Records a refusal; returns whether the caller comes back. */
+    boolean refused() {
+        mRefusals++;
+        if (mRefusals > 1) {
+            mResult.refused();
+            return false;
+        }
+        return true;
+    }
+
+    void failed() {
+        mResult.failed();
+        mResult.history(mNotes);
+    }
+}
--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/policy/FakeEngine.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/policy/FakeEngine.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import org.gentianwalk.bench.clock.VirtualClock;
 import org.gentianwalk.core.model.UpstreamInfo;
 import org.gentianwalk.core.policy.Scheduler.LoadReport;
 
--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/policy/FakeInstance.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/policy/FakeInstance.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.gentianwalk.bench.clock.VirtualClock;
 import org.gentianwalk.core.model.Location;
 import org.gentianwalk.core.model.RequestKey;
 import org.gentianwalk.core.policy.Decision;
--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/policy/Recorder.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/policy/Recorder.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
+import org.gentianwalk.bench.clock.VirtualClock;
 import org.gentianwalk.core.model.Location.Distance;
 import org.gentianwalk.core.model.Rank;
 
--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/policy/ShareErrorScenario.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/policy/ShareErrorScenario.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.gentianwalk.bench.clock.VirtualClock;
 import org.gentianwalk.bench.policy.Scenario.Target;
 
 /**
--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/policy/World.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/policy/World.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import org.gentianwalk.bench.clock.VirtualClock;
 import org.gentianwalk.core.model.Fingerprint;
 import org.gentianwalk.core.model.Location;
 import org.gentianwalk.core.model.RequestKey;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -28,15 +28,30 @@
     /** When a caller may come back after every upstream was full. */
     private static final Duration FULL_RETRY = Duration.ofMillis(150);
 
-    /** Load, in parts of an upstream's slots, that a longer path is worth. */
-    private static final double REGION_COST = 1.0;
+    /** Round trips, milliseconds: between zones 3, between regions 25 in the deployments known. */
+    private static final double ZONE_MILLIS = 3;
 
-    private static final double ZONE_COST = 0.3;
+    private static final double REGION_MILLIS = 25;
 
-    /** Load that an upstream counts as having after a failure, until it has answered. */
-    private static final double DOUBT_COST = 2.0;
+    /** Part of a call's time that a full upstream is worth, so that load spreads before it is. */
+    private static final double SPREAD_PART = 0.3;
 
-    private static final double TIE_COST = 0.01;
+    /** Duration of a call that is assumed before the first answer, milliseconds. */
+    private static final double FIRST_CALL_MILLIS = 30;
+
+    private static final double CALL_WEIGHT = 0.05;
+
+    /** Time for which a stated load counts; it fades linearly. */
+    private static final long STATED_NANOS = Duration.ofMillis(500).toNanos();
+
+    /** Cost of an upstream that failed last and has not answered since, milliseconds. */
+    private static final double DOUBT_MILLIS = 100;
+
+    /** Cost of an upstream that rests after a failure, or has failed the call, milliseconds. */
+    private static final double LAST_RESORT_MILLIS = 10_000;
+
+    private static final double TIE_MILLIS = 0.5;
+    private static final double NANOS_PER_MILLI = 1e6;
 
     private final LocationMap mLocations;
     private final RetryAllowance mRetries;
@@ -44,6 +59,7 @@
     private final Map<String, Target> mTargets = new LinkedHashMap<>();
     private final Map<Long, Call> mCalls = new HashMap<>();
     private List<Decision> mDue = new ArrayList<>();
+    private double mCallMillis = FIRST_CALL_MILLIS;
 
     /**
      * Creates a scheduler without upstreams.
@@ -86,6 +102,17 @@
         // A call has no output before its answer.
     }
 
+    @Override
+    public void loadStated(long work, UpstreamLoad load, long nowNanos) {
+        Call call = mCalls.get(work);
+        if (call == null || call.mTarget == null) {
+            return;
+        }
+        Target target = call.mTarget;
+        target.mOthers = Math.max(0, load.running() + load.waiting() - target.mRunning);
+        target.mStatedAt = nowNanos;
+    }
+
     @Override
     public void attemptEnded(long work, int attempt, AttemptEnd end, long nowNanos) {
         Call call = mCalls.get(work);
@@ -101,6 +128,8 @@
             default -> mTargets.remove(target.mUpstream.id(), target);
         }
         if (end == AttemptEnd.SUCCEEDED) {
+            double millis = (nowNanos - call.mStartedAt) / NANOS_PER_MILLI;
+            mCallMillis += CALL_WEIGHT * (millis - mCallMillis);
             mCalls.remove(work);
         } else if (end.isNotRun()) {
             afterUnrun(call, end, nowNanos);
@@ -187,6 +216,7 @@
         }
         call.mAttempt++;
         call.mTarget = target;
+        call.mStartedAt = nowNanos;
         call.mTried.add(target.mUpstream.id());
         target.mRunning++;
         mDue.add(
@@ -217,27 +247,31 @@
         return best;
     }
 
+    /** Returns the time that a call is expected to take beyond its own, milliseconds. */
     private double cost(Target target, Call call, long nowNanos) {
-        double cost = (double) target.mRunning / target.mUpstream.slots();
-        cost += distanceCost(mLocations.distance(target.mUpstream.zone()));
-        cost += TIE_COST * mRandom.nextDouble();
+        int slots = target.mUpstream.slots();
+        double load = target.mRunning + target.othersAt(nowNanos);
+        double wait = Math.max(0, load + 1 - slots) / slots * mCallMillis;
+        double cost = wait + SPREAD_PART * mCallMillis * load / slots;
+        cost += pathMillis(mLocations.distance(target.mUpstream.zone()));
+        cost += TIE_MILLIS * mRandom.nextDouble();
+        if (target.mReachability.isDoubtful()) {
+            cost += DOUBT_MILLIS;
+        }
         if (target.mReachability.isResting(nowNanos)) {
-            // Used only when all others rest as well.
-            cost += 10 * DOUBT_COST;
-        } else if (target.mReachability.isDoubtful()) {
-            cost += DOUBT_COST;
+            cost += LAST_RESORT_MILLIS;
         }
         if (call.mTried.contains(target.mUpstream.id())) {
-            cost += 100 * DOUBT_COST;
+            cost += LAST_RESORT_MILLIS;
         }
         return cost;
     }
 
-    private static double distanceCost(Distance distance) {
+    private static double pathMillis(Distance distance) {
         return switch (distance) {
             case SAME_ZONE -> 0;
-            case SAME_REGION -> ZONE_COST;
-            case OTHER_REGION -> REGION_COST;
+            case SAME_REGION -> ZONE_MILLIS;
+            case OTHER_REGION -> REGION_MILLIS;
         };
     }
 
@@ -251,11 +285,19 @@
     private static final class Target {
         Upstream mUpstream;
         int mRunning;
+        int mOthers;
+        long mStatedAt;
         final Reachability mReachability = new Reachability();
 
         Target(Upstream upstream) {
             mUpstream = upstream;
         }
+
+        /** Returns the load of other instances, as far as it is known. */
+        double othersAt(long nowNanos) {
+            double left = 1 - (double) (nowNanos - mStatedAt) / STATED_NANOS;
+            return mOthers * Math.max(0, left);
+        }
     }
 
     /** State of a call. */
@@ -263,6 +305,7 @@
         final Work mWork;
         final Set<String> mTried = new HashSet<>();
         int mAttempt;
+        long mStartedAt;
         int mUnrun;
         int mRan;
         @Nullable Target mTarget;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -112,6 +112,11 @@
         }
     }
 
+    @Override
+    public void loadStated(long work, UpstreamLoad load, long nowNanos) {
+        // What instances tell each other is newer and says which prompts are still to be read.
+    }
+
     @Override
     public void attemptEnded(long work, int attempt, AttemptEnd end, long nowNanos) {
         StreamRun run = mRuns.get(work);
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/WorkScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/WorkScheduler.java
@@ -33,6 +33,15 @@
      */
     void progress(long work, int attempt, Progress progress);
 
+    /**
+     * Records what an upstream said of its load.
+     *
+     * @param work number of the request that it answered
+     * @param load the load
+     * @param nowNanos time of receipt
+     */
+    void loadStated(long work, UpstreamLoad load, long nowNanos);
+
     /**
      * Records the end of the running attempt.
      *
--- /dev/null
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallSchedulerTest.java
@@ -0,0 +1,165 @@
+package org.gentianwalk.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.gentianwalk.core.dispatch.Samples.MS;
+import static org.gentianwalk.core.dispatch.Samples.finishes;
+import static org.gentianwalk.core.dispatch.Samples.starts;
+import static org.gentianwalk.core.dispatch.Samples.upstream;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.gentianwalk.core.dispatch.Decision.Ending;
+import org.gentianwalk.core.route.RequestKind;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against calls that run twice, are refused falsely, or go to upstreams known to fail. */
+class CallSchedulerTest {
+    private final Upstream mNear = upstream("near", "a");
+    private final Upstream mNextZone = upstream("next", "b");
+    private final Upstream mFar = upstream("far", "c");
+    private final CallScheduler mScheduler =
+            new CallScheduler(Samples.LOCATIONS, Samples.retries(), Samples.random());
+
+    @BeforeEach
+    void listUpstreams() {
+        mScheduler.upstreams(List.of(mNear, mNextZone, mFar), 0);
+    }
+
+    @Test
+    void anIdleUpstreamOfTheOwnZoneIsPreferred() {
+        assertThat(offer(Samples.call(1, RequestKind.SINGLE_CALL, 1, 0), 0).upstream())
+                .isEqualTo(mNear);
+    }
+
+    @Test
+    void callsSpreadToOtherZonesBeforeTheyQueueForLong() {
+        Map<String, Integer> calls = new HashMap<>();
+        for (int id = 1; id <= 18; id++) {
+            Decision.Start start = offer(Samples.call(id, RequestKind.SINGLE_CALL, 1, 0), 0);
+            calls.merge(start.upstream().id(), 1, Integer::sum);
+        }
+
+        // A call of 30 ms waits for a slot less long than the path of 25 ms to the far region
+        // takes.
+        assertThat(calls).hasSize(3);
+        assertThat(calls.values()).allMatch(count -> (count - 6) / 6.0 * 30 < 25);
+    }
+
+    @Test
+    void aCallThatMayRunOnceIsNotSentAgainAfterItsUpstreamWasLost() {
+        offer(Samples.call(1, RequestKind.SINGLE_CALL, 3, 0), 0);
+
+        mScheduler.attemptEnded(1, 1, AttemptEnd.RESET, MS);
+        List<Decision> due = mScheduler.advance(MS);
+
+        assertThat(starts(due)).isEmpty();
+        assertThat(finishes(due).getFirst().ending()).isEqualTo(Ending.UNKNOWN);
+    }
+
+    @Test
+    void aCallThatMayRunOnceIsSentElsewhereWhenItHasNotRun() {
+        for (AttemptEnd end :
+                List.of(AttemptEnd.REJECTED, AttemptEnd.UNREACHABLE, AttemptEnd.MISDIRECTED)) {
+            CallScheduler scheduler =
+                    new CallScheduler(Samples.LOCATIONS, Samples.retries(), Samples.random());
+            scheduler.upstreams(List.of(mNear, mNextZone, mFar), 0);
+            scheduler.offer(Samples.call(1, RequestKind.SINGLE_CALL, 1, 0), 0);
+            scheduler.advance(0);
+
+            scheduler.attemptEnded(1, 1, end, MS);
+
+            assertThat(starts(scheduler.advance(MS)))
+                    .as("after %s", end)
+                    .singleElement()
+                    .satisfies(start -> assertThat(start.upstream()).isNotEqualTo(mNear));
+        }
+    }
+
+    @Test
+    void anIdempotentCallIsRepeatedElsewhereOnceItsUpstreamFailed() {
+        offer(Samples.call(1, RequestKind.IDEMPOTENT_CALL, 2, 0), 0);
+
+        mScheduler.attemptEnded(1, 1, AttemptEnd.ANSWERED_ERROR, MS);
+        Decision.Start second = starts(mScheduler.advance(MS)).getFirst();
+        mScheduler.attemptEnded(1, 2, AttemptEnd.ANSWERED_ERROR, 2 * MS);
+        List<Decision> due = mScheduler.advance(2 * MS);
+
+        assertThat(second.upstream()).isNotEqualTo(mNear);
+        assertThat(starts(due)).as("two upstreams are allowed").isEmpty();
+        assertThat(finishes(due).getFirst().ending()).isEqualTo(Ending.UPSTREAM_ERROR);
+    }
+
+    @Test
+    void aRefusalIsOnlyGivenWhileNothingHasRun() {
+        CallScheduler scheduler =
+                new CallScheduler(Samples.LOCATIONS, Samples.retries(), Samples.random());
+        scheduler.upstreams(List.of(mNear), 0);
+        scheduler.offer(Samples.call(1, RequestKind.IDEMPOTENT_CALL, 3, 0), 0);
+        scheduler.advance(0);
+        scheduler.attemptEnded(1, 1, AttemptEnd.LOST, MS);
+        Decision.Finish finish = finishes(scheduler.advance(MS)).getFirst();
+
+        assertThat(finish.ending()).isEqualTo(Ending.UNKNOWN);
+    }
+
+    @Test
+    void withoutAnUpstreamACallIsRefusedAtOnce() {
+        mScheduler.upstreams(List.of(), 0);
+        mScheduler.offer(Samples.call(1, RequestKind.SINGLE_CALL, 1, 0), 0);
+
+        Decision.Finish finish = finishes(mScheduler.advance(0)).getFirst();
+
+        assertThat(finish.ending()).isEqualTo(Ending.REFUSED);
+        assertThat(finish.retryAfter()).isPositive();
+    }
+
+    @Test
+    void aDrainingUpstreamGetsNoCall() {
+        mScheduler.upstreams(List.of(Samples.draining(mNear), mFar), 0);
+
+        assertThat(offer(Samples.call(1, RequestKind.SINGLE_CALL, 1, 0), 0).upstream())
+                .isEqualTo(mFar);
+    }
+
+    @Test
+    void anUpstreamThatFailedRestsAndReturnsByATrial() {
+        offer(Samples.call(1, RequestKind.IDEMPOTENT_CALL, 2, 0), 0);
+        mScheduler.attemptEnded(1, 1, AttemptEnd.RESET, 0);
+        mScheduler.advance(0);
+
+        assertThat(offer(Samples.call(2, RequestKind.SINGLE_CALL, 1, MS), MS).upstream())
+                .isNotEqualTo(mNear);
+
+        mScheduler.upstreams(List.of(mNear), 2 * MS);
+        long later = 400 * MS;
+        assertThat(offer(Samples.call(3, RequestKind.SINGLE_CALL, 1, later), later).upstream())
+                .isEqualTo(mNear);
+    }
+
+    @Test
+    void aCallEndsWithItsTime() {
+        offer(Samples.call(1, RequestKind.SINGLE_CALL, 1, 0), 0);
+
+        List<Decision> due = mScheduler.advance(1200 * MS);
+
+        assertThat(finishes(due).getFirst().ending()).isEqualTo(Ending.TIMED_OUT);
+    }
+
+    @Test
+    void aLateReportOfAnEarlierAttemptChangesNothing() {
+        offer(Samples.call(1, RequestKind.IDEMPOTENT_CALL, 3, 0), 0);
+        mScheduler.attemptEnded(1, 1, AttemptEnd.RESET, MS);
+        mScheduler.advance(MS);
+
+        mScheduler.attemptEnded(1, 1, AttemptEnd.RESET, 2 * MS);
+
+        assertThat(mScheduler.advance(2 * MS)).isEmpty();
+    }
+
+    private Decision.Start offer(Work work, long now) {
+        mScheduler.offer(work, now);
+        return starts(mScheduler.advance(now)).getLast();
+    }
+}
--- /dev/null
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/RetryAllowanceTest.java
@@ -0,0 +1,41 @@
+package org.gentianwalk.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.gentianwalk.core.dispatch.Samples.SECOND;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+/** Guards against retries that multiply the load of a service that is failing. */
+class RetryAllowanceTest {
+    private static final RetryBounds BOUNDS = new RetryBounds(0.8, 150, Duration.ofSeconds(10));
+
+    @Test
+    void theFleetStaysWithinItsBoundWhenEveryInstanceUsesAllItMay() {
+        int instances = 9;
+        int requests = 100;
+        int retries = 0;
+        for (int i = 0; i < instances; i++) {
+            RetryAllowance allowance = new RetryAllowance(BOUNDS);
+            allowance.instances(instances);
+            for (int request = 0; request < requests; request++) {
+                allowance.requested(request);
+            }
+            while (allowance.tryRetry(requests)) {
+                retries++;
+            }
+        }
+
+        assertThat(retries).isLessThanOrEqualTo((int) (0.8 * requests * instances + 150));
+        assertThat(retries).isGreaterThan(requests * instances / 2);
+    }
+
+    @Test
+    void theWindowSlides() {
+        RetryAllowance allowance = new RetryAllowance(new RetryBounds(1, 2, BOUNDS.window()));
+        assertThat(allowance.tryRetry(0)).isTrue();
+        assertThat(allowance.tryRetry(0)).isFalse();
+        assertThat(allowance.tryRetry(9 * SECOND)).isFalse();
+        assertThat(allowance.tryRetry(10 * SECOND)).isTrue();
+    }
+}
--- /dev/null
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/Samples.java
@@ -0,0 +1,105 @@
+package org.gentianwalk.core.dispatch;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.random.RandomGenerator;
+import org.gentianwalk.core.model.Location;
+import org.gentianwalk.core.route.EngineSpec;
+import org.gentianwalk.core.route.RequestKind;
+
+/** Objects that several tests of the package use. */
+final class Samples {
+    static final long MS = 1_000_000L;
+    static final long SECOND = 1_000 * MS;
+
+    /** Zones a and b of region near, c of region far; the instance is in a. */
+    static final LocationMap LOCATIONS =
+            new LocationMap(
+                    new Location("near", "a"), Map.of("a", "near", "b", "near", "c", "far"));
+
+    static final EngineSpec SPEC = new EngineSpec(16, 88_000, 6, true, Duration.ofSeconds(4));
+
+    private Samples() {}
+
+    static RandomGenerator random() {
+        return new Random(20261204);
+    }
+
+    static RetryAllowance retries() {
+        return new RetryAllowance(new RetryBounds(0.8, 150, Duration.ofSeconds(10)));
+    }
+
+    static Upstream upstream(String id, String zone) {
+        return new Upstream(id, 1, "service", "10.0.0." + id.hashCode() + ":80", zone, 6, false);
+    }
+
+    static Upstream draining(Upstream upstream) {
+        return new Upstream(
+                upstream.id(),
+                upstream.incarnation(),
+                upstream.service(),
+                upstream.address(),
+                upstream.zone(),
+                upstream.slots(),
+                true);
+    }
+
+    static Work call(long id, RequestKind kind, int maxAttempts, long now) {
+        return new Work(
+                id,
+                "request-" + id,
+                "service",
+                "team",
+                kind,
+                2,
+                null,
+                now,
+                now + 150 * MS,
+                now + 1200 * MS,
+                0,
+                maxAttempts,
+                0);
+    }
+
+    static Work stream(long id, int priority, int promptTokens, long now) {
+        return stream(id, priority, promptTokens, "team", now);
+    }
+
+    static Work stream(long id, int priority, int promptTokens, String team, long now) {
+        return new Work(
+                id,
+                "request-" + id,
+                "service",
+                team,
+                RequestKind.RESUMABLE_STREAM,
+                priority,
+                new GenerationShape(
+                        "m",
+                        promptTokens,
+                        900,
+                        780,
+                        List.of(new PromptPart(1000 + id, promptTokens))),
+                now,
+                now + (priority == 0 ? 4 : 10) * SECOND,
+                now + 25 * SECOND,
+                700 * MS,
+                5,
+                0);
+    }
+
+    static List<Decision.Start> starts(List<Decision> decisions) {
+        return decisions.stream()
+                .filter(Decision.Start.class::isInstance)
+                .map(Decision.Start.class::cast)
+                .toList();
+    }
+
+    static List<Decision.Finish> finishes(List<Decision> decisions) {
+        return decisions.stream()
+                .filter(Decision.Finish.class::isInstance)
+                .map(Decision.Finish.class::cast)
+                .toList();
+    }
+}
--- /dev/null
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamDirectoryTest.java
@@ -0,0 +1,78 @@
+package org.gentianwalk.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.gentianwalk.core.dispatch.Samples.MS;
+import static org.gentianwalk.core.dispatch.Samples.SECOND;
+import static org.gentianwalk.core.dispatch.Samples.draining;
+import static org.gentianwalk.core.dispatch.Samples.upstream;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against work for upstreams that left, and against losing all when only the list fails. */
+class UpstreamDirectoryTest {
+    private final Upstream mFirst = upstream("first", "a");
+    private final Upstream mSecond = upstream("second", "b");
+    private final UpstreamDirectory mDirectory = new UpstreamDirectory();
+
+    UpstreamDirectoryTest() {
+        mDirectory.replaced(List.of(mFirst, mSecond), 0);
+    }
+
+    @Test
+    void anEntryRemovedWhileTheListWorksIsGoneAtOnce() {
+        mDirectory.removed("first", SECOND);
+
+        assertThat(mDirectory.upstreams("service")).containsExactly(mSecond);
+    }
+
+    @Test
+    void entriesThatLapsedWhileTheListWasAwayAreKeptUntilTheyCanBeBack() {
+        mDirectory.lost(SECOND);
+        mDirectory.replaced(List.of(mSecond), 8 * SECOND);
+        mDirectory.advance(9 * SECOND);
+
+        assertThat(mDirectory.upstreams("service")).containsExactly(mFirst, mSecond);
+
+        mDirectory.advance(8 * SECOND + UpstreamDirectory.RETURN_NANOS);
+
+        assertThat(mDirectory.upstreams("service")).containsExactly(mSecond);
+    }
+
+    @Test
+    void anEntryThatComesBackInTimeStays() {
+        mDirectory.lost(SECOND);
+        mDirectory.replaced(List.of(mSecond), 8 * SECOND);
+        mDirectory.put(mFirst, 9 * SECOND);
+        mDirectory.advance(20 * SECOND);
+
+        assertThat(mDirectory.upstreams("service")).contains(mFirst);
+    }
+
+    @Test
+    void aDrainingEntryThatLapsesIsNotKept() {
+        mDirectory.put(draining(mFirst), SECOND);
+        mDirectory.lost(2 * SECOND);
+        mDirectory.replaced(List.of(mSecond), 8 * SECOND);
+
+        assertThat(mDirectory.upstreams("service")).containsExactly(mSecond);
+    }
+
+    @Test
+    void aRemovalLongAfterAnOutageCountsAtOnce() {
+        mDirectory.lost(SECOND);
+        mDirectory.returned(2 * SECOND);
+        mDirectory.removed("first", 20 * SECOND);
+
+        assertThat(mDirectory.upstreams("service")).containsExactly(mSecond);
+    }
+
+    @Test
+    void onlyChangesAreReported() {
+        assertThat(mDirectory.takeChanged()).isTrue();
+        mDirectory.put(mFirst, MS);
+        assertThat(mDirectory.takeChanged()).isFalse();
+        mDirectory.put(draining(mFirst), 2 * MS);
+        assertThat(mDirectory.takeChanged()).isTrue();
+    }
+}
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -21,6 +21,7 @@
 import org.gentianwalk.core.dispatch.StreamScheduler;
 import org.gentianwalk.core.dispatch.Upstream;
 import org.gentianwalk.core.dispatch.UpstreamDirectory;
+import org.gentianwalk.core.dispatch.UpstreamLoad;
 import org.gentianwalk.core.dispatch.Work;
 import org.gentianwalk.core.dispatch.WorkScheduler;
 import org.gentianwalk.core.route.RouteTable;
@@ -37,6 +38,7 @@
 import org.gentianwalk.gateway.store.TableWatcher;
 import org.gentianwalk.gateway.store.UnreadableRowException;
 import org.gentianwalk.gateway.traffic.ControlPort;
+import org.gentianwalk.gateway.traffic.Delivery;
 import org.gentianwalk.gateway.traffic.Exchange;
 import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
@@ -171,20 +173,37 @@
     }
 
     @Override
-    public void ended(long work, int attempt, AttemptEnd end, String cause) {
+    public void ended(
+            long work, int attempt, AttemptEnd end, String cause, @Nullable UpstreamLoad load) {
         mControl.execute(
                 () -> {
                     Request request = mRequests.get(work);
                     if (request == null) {
                         return;
                     }
-                    if (end != AttemptEnd.SUCCEEDED) {
-                        mLog.attemptEnded(request.work(), attempt, end, cause, mTicker.nanos());
+                    mLog.attemptEnded(request.work(), attempt, end, cause, mTicker.nanos());
+                    if (load != null) {
+                        request.scheduler().loadStated(work, load, mTicker.nanos());
                     }
                     request.scheduler().attemptEnded(work, attempt, end, mTicker.nanos());
-                    if (end == AttemptEnd.SUCCEEDED) {
-                        mRequests.remove(work);
+                    carryOut(request.scheduler());
+                });
+    }
+
+    @Override
+    public void delivered(long work, int attempt, Delivery delivery, @Nullable UpstreamLoad load) {
+        mControl.execute(
+                () -> {
+                    Request request = mRequests.remove(work);
+                    if (request == null) {
+                        return;
+                    }
+                    mLog.delivered(request.work(), attempt, delivery, mTicker.nanos());
+                    if (load != null) {
+                        request.scheduler().loadStated(work, load, mTicker.nanos());
                     }
+                    request.scheduler()
+                            .attemptEnded(work, attempt, AttemptEnd.SUCCEEDED, mTicker.nanos());
                     carryOut(request.scheduler());
                 });
     }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
@@ -5,6 +5,7 @@
 import org.gentianwalk.core.dispatch.Decision;
 import org.gentianwalk.core.dispatch.Upstream;
 import org.gentianwalk.core.dispatch.Work;
+import org.gentianwalk.gateway.traffic.Delivery;
 import org.gentianwalk.server.log.Fields;
 import org.jboss.logging.Logger;
 
@@ -62,6 +63,24 @@
                         .with("cause", cause));
     }
 
+    /**
+     * Logs that a caller has the whole answer of an upstream.
+     *
+     * @param work the request
+     * @param attempt number of the attempt that brought it
+     * @param delivery how it was delivered
+     * @param nowNanos current time
+     */
+    public void delivered(Work work, int attempt, Delivery delivery, long nowNanos) {
+        LOG.infov(
+                "delivered",
+                request(work, nowNanos)
+                        .with("attempt", attempt)
+                        .with("first_ms", delivery.firstMillis())
+                        .with("pause_ms", delivery.pauseMillis())
+                        .with("events", delivery.events()));
+    }
+
     /**
      * Logs that a request gets a final answer of this instance, or an upstream's error.
      *
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/ControlPort.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/ControlPort.java
@@ -2,7 +2,9 @@
 
 import org.gentianwalk.core.dispatch.AttemptEnd;
 import org.gentianwalk.core.dispatch.Progress;
+import org.gentianwalk.core.dispatch.UpstreamLoad;
 import org.gentianwalk.core.dispatch.Work;
+import org.jspecify.annotations.Nullable;
 
 /** What the traffic loop tells the control thread. Calls return at once. */
 public interface ControlPort {
@@ -30,8 +32,19 @@
      * @param attempt number of the attempt
      * @param end how it ended
      * @param cause for the log
+     * @param load load that the upstream stated, or null
      */
-    void ended(long work, int attempt, AttemptEnd end, String cause);
+    void ended(long work, int attempt, AttemptEnd end, String cause, @Nullable UpstreamLoad load);
+
+    /**
+     * Tells that the caller has the whole answer of an upstream.
+     *
+     * @param work number of the request
+     * @param attempt number of the attempt
+     * @param delivery how it was delivered
+     * @param load load that the upstream stated, or null
+     */
+    void delivered(long work, int attempt, Delivery delivery, @Nullable UpstreamLoad load);
 
     /**
      * Tells that the caller is gone.
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -6,6 +6,7 @@
 import org.gentianwalk.core.dispatch.AttemptEnd;
 import org.gentianwalk.core.dispatch.Decision;
 import org.gentianwalk.core.dispatch.Progress;
+import org.gentianwalk.core.dispatch.UpstreamLoad;
 import org.gentianwalk.core.dispatch.Work;
 import org.gentianwalk.core.time.Ticker;
 import org.gentianwalk.gateway.http.CallerChannel;
@@ -40,6 +41,8 @@
      */
     private static final long REPORT_NANOS = Duration.ofMillis(50).toNanos();
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private static final int BAD_GATEWAY = 502;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -53,6 +56,10 @@
     private long mLastEvent;
     private boolean mBegun;
     private boolean mDone;
+    private int mForwarded;
+    private long mFirstAt;
+    private long mForwardedAt;
+    private long mLongestPause;
 
     /**
      * Creates an exchange without an attempt.
@@ -159,10 +166,33 @@
             return;
         }
         mAttempt = null;
-        if (end == AttemptEnd.SUCCEEDED) {
-            mDone = true;
+        mWith.control().ended(mWork.id(), attempt.mStart.attempt(), end, cause, attempt.load());
+    }
+
+    private void delivered(Attempt attempt) {
+        if (mAttempt != attempt) {
+            return;
         }
-        mWith.control().ended(mWork.id(), attempt.mStart.attempt(), end, cause);
+        mAttempt = null;
+        mDone = true;
+        long first = mForwarded == 0 ? mWith.ticker().nanos() : mFirstAt;
+        Delivery delivery =
+                new Delivery(
+                        (first - mWork.arrivedNanos()) / NANOS_PER_MILLI,
+                        mLongestPause / NANOS_PER_MILLI,
+                        mForwarded);
+        mWith.control().delivered(mWork.id(), attempt.mStart.attempt(), delivery, attempt.load());
+    }
+
+    private void forwarded() {
+        long now = mWith.ticker().nanos();
+        if (mForwarded == 0) {
+            mFirstAt = now;
+        } else {
+            mLongestPause = Math.max(mLongestPause, now - mForwardedAt);
+        }
+        mForwardedAt = now;
+        mForwarded++;
     }
 
     /**
@@ -212,6 +242,11 @@
             }
         }
 
+        private @Nullable UpstreamLoad load() {
+            AnswerHead head = mHead;
+            return head == null ? null : head.load();
+        }
+
         private HttpHeaders upstreamHeaders() {
             HttpHeaders headers = mRequest.headers().copy();
             Duration left = Duration.ofNanos(mWork.deadlineNanos() - mWith.ticker().nanos());
@@ -283,10 +318,10 @@
             } else if (mBegun) {
                 mChannel.write(mBody.toByteArray());
                 mChannel.end();
-                ended(this, AttemptEnd.SUCCEEDED, "");
+                delivered(this);
             } else if (head.isSuccess()) {
                 new HeldAnswer(head, headers, mBody.toByteArray()).deliver(mChannel);
-                ended(this, AttemptEnd.SUCCEEDED, "");
+                delivered(this);
             } else {
                 mHeld = new HeldAnswer(head, headers, mBody.toByteArray());
                 ended(this, AttemptEnd.ANSWERED_ERROR, "status " + head.status());
@@ -349,6 +384,7 @@
             }
             begin();
             mChannel.write(event.bytes());
+            forwarded();
             pauseWhenFull();
             measure();
         }
@@ -387,7 +423,7 @@
                 mChannel.write(rest);
             }
             mChannel.end();
-            ended(this, AttemptEnd.SUCCEEDED, "");
+            delivered(this);
         }
 
         private void pauseWhenFull() {
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/wire/AnswerHead.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/wire/AnswerHead.java
@@ -1,6 +1,7 @@
 package org.gentianwalk.gateway.wire;
 
 import java.time.Duration;
+import org.gentianwalk.core.dispatch.UpstreamLoad;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,7 +26,7 @@
         @Nullable String upstreamId,
         boolean signed,
         boolean eventStream,
-        @Nullable Load load,
+        @Nullable UpstreamLoad load,
         @Nullable Duration keepAlive) {
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_AFTER_SUCCESS = 300;
@@ -38,13 +39,4 @@
     public boolean isSuccess() {
         return status >= FIRST_SUCCESS && status < FIRST_AFTER_SUCCESS;
     }
-
-    /**
-     * Load of an upstream when it answered.
-     *
-     * @param running requests that run
-     * @param waiting requests in its queue
-     * @param slots requests that it runs at once
-     */
-    public record Load(int running, int waiting, int slots) {}
 }
