--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/InstanceModel.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/InstanceModel.java
@@ -48,8 +48,7 @@
         retries.instances(fleet.traits().instances() * fleet.traits().zones().size());
         LocationMap locations =
                 new LocationMap(
-                        new Location(fleet.traits().region(zone), zone),
-                        fleet.traits().zones());
+                        new Location(fleet.traits().region(zone), zone), fleet.traits().zones());
         mScheduler =
                 new StreamScheduler(
                         FleetModel.SERVICE, fleet.spec(), locations, retries, new Random(seed));
--- /dev/null
+++ b/gentianwalk-bench/src/test/java/org/gentianwalk/bench/fleet/FleetModelTest.java
@@ -0,0 +1,86 @@
+package org.gentianwalk.bench.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Runs whole fleets through patterns of load. Guards against policies that lose answers, or bring
+ * them late, although the engines could have brought them in time.
+ */
+class FleetModelTest {
+    private static final long DAY_MILLIS = 34_000;
+
+    /** Part of the worth asked for that the heaviest days are to bring. */
+    private static final double HEAVY_TARGET = 0.73;
+
+    /** The same for days with crashes at usual load. */
+    private static final double USUAL_TARGET = 0.80;
+
+    private static final Pattern ZONE_CRASHES = Patterns.zoneCrashes(4_500, 6_500, 1_200);
+
+    @Test
+    void aCalmDayIsServedWhole() {
+        for (FleetTraits traits : List.of(FleetTraits.kvali(), FleetTraits.vanDaele())) {
+            FleetResult result = FleetModel.run(traits, 1, DAY_MILLIS, List.of());
+
+            assertThat(result.kind(0).served()).as(result.toString()).isGreaterThan(0.98);
+            assertThat(result.kind(1).served()).as(result.toString()).isGreaterThan(0.98);
+        }
+    }
+
+    /** Nine of ten engines of one zone after the other are away for 1.2 s every 6.5 s. */
+    @Test
+    void streamsOutliveTheCrashesOfOneZoneAfterTheOther() {
+        for (FleetTraits traits : List.of(FleetTraits.kvali(), FleetTraits.vanDaele())) {
+            FleetResult result = FleetModel.run(traits, 1, DAY_MILLIS, List.of(ZONE_CRASHES));
+
+            assertThat(result.worth()).as(result.toString()).isGreaterThan(USUAL_TARGET);
+            assertThat(result.readAgain()).as(result.toString()).isLessThan(0.1);
+        }
+    }
+
+    /** The same, while the less urgent kind of request comes 2.4 times as often for six seconds. */
+    @Test
+    void aBurstOfTheLessUrgentKindBesideCrashesIsCarried() {
+        List<Pattern> patterns =
+                List.of(
+                        ZONE_CRASHES,
+                        Patterns.burst(1, 2.4, 3_000, 9_000),
+                        Patterns.burst(0, 1.6, 13_000, 16_500));
+        for (FleetTraits traits : List.of(FleetTraits.kvali(), FleetTraits.vanDaele())) {
+            FleetResult result = FleetModel.run(traits, 2, DAY_MILLIS, patterns);
+
+            assertThat(result.worth()).as(result.toString()).isGreaterThan(HEAVY_TARGET);
+        }
+    }
+
+    /**
+     * One engine in seven takes five times as long, beside crashes and a release of ten engines.
+     */
+    @Test
+    void slowEnginesAndAReleaseBesideCrashesAreCarried() {
+        List<Pattern> patterns =
+                List.of(
+                        ZONE_CRASHES,
+                        Patterns.burst(1, 2.4, 3_000, 9_000),
+                        Patterns.slowEngines(0.15, 5, 14_000, 20_000),
+                        Patterns.release(17_000, 900, 10));
+        for (FleetTraits traits : List.of(FleetTraits.kvali(), FleetTraits.vanDaele())) {
+            FleetResult result = FleetModel.run(traits, 1, DAY_MILLIS, patterns);
+
+            assertThat(result.worth()).as(result.toString()).isGreaterThan(HEAVY_TARGET);
+        }
+    }
+
+    @Test
+    void theSameSeedGivesTheSameDay() {
+        FleetTraits traits = FleetTraits.vanDaele();
+
+        String first = FleetModel.run(traits, 3, 10_000, List.of(ZONE_CRASHES)).toString();
+        String second = FleetModel.run(traits, 3, 10_000, List.of(ZONE_CRASHES)).toString();
+
+        assertThat(second).isEqualTo(first);
+    }
+}
--- /dev/null
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/EngineStateTest.java
@@ -0,0 +1,48 @@
+package org.gentianwalk.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.gentianwalk.core.dispatch.Samples.MS;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against engines that are taken for idle, or for busy, when they are not. */
+class EngineStateTest {
+    /** 8 tokens a millisecond. */
+    private static final double RATE = 8e-6;
+
+    private final EngineState mEngine = new EngineState(Samples.upstream("e", "a"), 0);
+
+    @Test
+    void promptsAreReadOneAfterTheOther() {
+        mEngine.own(1, new EngineState.Load(0, 8_000, 9_000, true, false));
+        mEngine.others("peer", List.of(new EngineState.Load(100 * MS, 4_000, 5_000, true, false)));
+
+        assertThat(mEngine.backlog(RATE, 200 * MS)).isEqualTo(1_300 * MS);
+        assertThat(mEngine.running()).isEqualTo(2);
+        assertThat(mEngine.memory()).isEqualTo(14_000);
+    }
+
+    @Test
+    void aPromptThatTakesLongerThanExpectedStillCounts() {
+        mEngine.own(1, new EngineState.Load(0, 8_000, 9_000, true, false));
+
+        assertThat(mEngine.backlog(RATE, 5_000 * MS)).isPositive();
+    }
+
+    @Test
+    void whatRunsIsNoBacklog() {
+        mEngine.own(1, new EngineState.Load(0, 8_000, 9_000, false, false));
+
+        assertThat(mEngine.backlog(RATE, 100 * MS)).isZero();
+    }
+
+    @Test
+    void copiesTakeMemoryButDoNotRun() {
+        mEngine.others("peer", List.of(new EngineState.Load(0, 0, 9_000, false, true)));
+
+        assertThat(mEngine.running()).isZero();
+        assertThat(mEngine.memory()).isEqualTo(9_000);
+        assertThat(mEngine.backlog(RATE, 0)).isZero();
+    }
+}
--- /dev/null
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamSchedulerTest.java
@@ -0,0 +1,306 @@
+package org.gentianwalk.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.gentianwalk.core.dispatch.Samples.MS;
+import static org.gentianwalk.core.dispatch.Samples.SECOND;
+import static org.gentianwalk.core.dispatch.Samples.finishes;
+import static org.gentianwalk.core.dispatch.Samples.starts;
+import static org.gentianwalk.core.dispatch.Samples.stream;
+import static org.gentianwalk.core.dispatch.Samples.upstream;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.gentianwalk.core.dispatch.Decision.Ending;
+import org.gentianwalk.core.route.RequestKind;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against generations that wait behind others, and that do not go on after a loss. */
+class StreamSchedulerTest {
+    private final List<Upstream> mEngines =
+            new ArrayList<>(
+                    List.of(
+                            upstream("a1", "a"),
+                            upstream("a2", "a"),
+                            upstream("b1", "b"),
+                            upstream("b2", "b"),
+                            upstream("c1", "c")));
+    private final StreamScheduler mScheduler =
+            new StreamScheduler(
+                    "service",
+                    Samples.SPEC,
+                    Samples.LOCATIONS,
+                    Samples.retries(),
+                    Samples.random());
+
+    @BeforeEach
+    void list() {
+        mScheduler.upstreams(mEngines, 0);
+    }
+
+    @Test
+    void promptsGoToDifferentEngines() {
+        List<Decision.Start> starts = new ArrayList<>();
+        for (int id = 1; id <= 5; id++) {
+            starts.add(offer(stream(id, 2, 8_000, 0), 0));
+        }
+
+        assertThat(starts).extracting(start -> start.upstream().id()).doesNotHaveDuplicates();
+    }
+
+    @Test
+    void promptsOfOtherInstancesCount() {
+        List<RunShare> runs = new ArrayList<>();
+        for (Upstream engine : mEngines) {
+            if (!engine.id().equals("b2")) {
+                runs.add(new RunShare(engine.id(), 7, 8_000, 9_000, 0, true, ""));
+            }
+        }
+        mScheduler.peerShare("peer", new LoadShare("service", 1, runs, 0, List.of()), 0);
+
+        assertThat(offer(stream(1, 2, 8_000, 0), 0).upstream().id()).isEqualTo("b2");
+    }
+
+    @Test
+    void aGenerationWaitsWhileAllEnginesReadAndUrgentOnesGoFirst() {
+        for (int id = 1; id <= 5; id++) {
+            offer(stream(id, 2, 8_000, 0), 0);
+        }
+        mScheduler.offer(stream(6, 2, 8_000, MS), MS);
+        mScheduler.offer(stream(7, 0, 8_000, 2 * MS), 2 * MS);
+        assertThat(mScheduler.advance(2 * MS)).isEmpty();
+
+        mScheduler.progress(1, 1, new Progress(1, 900 * MS, 0));
+
+        assertThat(starts(mScheduler.advance(900 * MS)))
+                .extracting(start -> start.work().id())
+                .containsExactly(7L);
+    }
+
+    @Test
+    void theCopyIsKeptInAnotherZone() {
+        Decision.Start start = offer(stream(1, 2, 8_000, 0), 0);
+
+        assertThat(start.copyKeeper()).isNotNull();
+        assertThat(start.copyKeeper().zone()).isNotEqualTo(start.upstream().zone());
+    }
+
+    @Test
+    void aLostGenerationGoesOnFromItsCopy() {
+        Decision.Start first = offer(stream(1, 2, 8_000, 0), 0);
+        mScheduler.progress(1, 1, new Progress(1, SECOND, 0));
+
+        mScheduler.attemptEnded(1, 1, AttemptEnd.RESET, 2 * SECOND);
+        Decision.Start second = starts(mScheduler.advance(2 * SECOND)).getFirst();
+
+        assertThat(second.upstream()).isEqualTo(first.copyKeeper());
+        assertThat(second.copy().name()).isEqualTo("request-1");
+        assertThat(second.urgency()).isZero();
+        assertThat(second.copyKeeper().zone()).isNotEqualTo(second.upstream().zone());
+    }
+
+    @Test
+    void withoutACopyYetAGenerationStartsAnew() {
+        offer(stream(1, 2, 8_000, 0), 0);
+
+        mScheduler.attemptEnded(1, 1, AttemptEnd.RESET, 100 * MS);
+
+        assertThat(starts(mScheduler.advance(100 * MS)).getFirst().copy()).isNull();
+    }
+
+    @Test
+    void aCopyThatIsNotThereMakesAGenerationStartAnew() {
+        offer(stream(1, 2, 8_000, 0), 0);
+        mScheduler.progress(1, 1, new Progress(1, SECOND, 0));
+        mScheduler.attemptEnded(1, 1, AttemptEnd.RESET, 2 * SECOND);
+        mScheduler.advance(2 * SECOND);
+
+        mScheduler.attemptEnded(1, 2, AttemptEnd.REJECTED, 2 * SECOND + MS);
+
+        assertThat(starts(mScheduler.advance(2 * SECOND + MS)).getFirst().copy()).isNull();
+    }
+
+    @Test
+    void anEngineThatFallsSilentIsLeft() {
+        Decision.Start first = offer(stream(1, 2, 8_000, 0), 0);
+        long now = SECOND;
+        for (int event = 0; event < 30; event++) {
+            now += 180 * MS;
+            mScheduler.progress(1, 1, new Progress(1, now, event == 0 ? 0 : 180 * MS));
+            assertThat(starts(mScheduler.advance(now + 100 * MS))).isEmpty();
+        }
+
+        // Leaves 300 ms of a pause of 700 ms for the way to the copy and its next event.
+        List<Decision.Start> moved = starts(mScheduler.advance(now + 400 * MS));
+
+        assertThat(moved).singleElement();
+        assertThat(moved.getFirst().upstream()).isEqualTo(first.copyKeeper());
+    }
+
+    @Test
+    void aPromptThatIsReadForFarTooLongIsReadElsewhere() {
+        Decision.Start first = offer(stream(1, 2, 8_000, 0), 0);
+        assertThat(starts(mScheduler.advance(2 * SECOND))).isEmpty();
+
+        List<Decision.Start> moved = starts(mScheduler.advance(4 * SECOND));
+
+        assertThat(moved).singleElement();
+        assertThat(moved.getFirst().upstream()).isNotEqualTo(first.upstream());
+    }
+
+    @Test
+    void theEnginesOfAFailedZoneAreAvoidedWithoutATry() {
+        List<Upstream> engines = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            engines.add(upstream("x" + i, "a"));
+            engines.add(upstream("y" + i, "b"));
+        }
+        mScheduler.upstreams(engines, 0);
+        LoadShare.Doubt[] doubts = new LoadShare.Doubt[3];
+        for (int i = 0; i < doubts.length; i++) {
+            doubts[i] = new LoadShare.Doubt("x" + i, 1, 10);
+        }
+        mScheduler.peerShare(
+                "peer", new LoadShare("service", 1, List.of(), 0, List.of(doubts)), 10 * SECOND);
+
+        for (int id = 1; id <= 8; id++) {
+            Decision.Start start = offer(stream(id, 2, 8_000, 10 * SECOND), 10 * SECOND);
+            assertThat(start.upstream().zone()).isEqualTo("b");
+        }
+    }
+
+    @Test
+    void anEngineOfAFailedZoneIsUsedAgainOnceItIsListedAnew() {
+        List<Upstream> engines = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            engines.add(upstream("x" + i, "a"));
+        }
+        mScheduler.upstreams(engines, 0);
+        List<LoadShare.Doubt> doubts = new ArrayList<>();
+        for (Upstream engine : engines) {
+            doubts.add(new LoadShare.Doubt(engine.id(), 1, 0));
+        }
+        mScheduler.peerShare(
+                "peer", new LoadShare("service", 1, List.of(), 0, doubts), 10 * SECOND);
+        mScheduler.offer(stream(1, 2, 8_000, 10 * SECOND), 10 * SECOND);
+        assertThat(mScheduler.advance(10 * SECOND)).isEmpty();
+
+        engines.set(0, new Upstream("x0", 2, "service", "10.0.0.1:80", "a", 16, false));
+        mScheduler.upstreams(engines, 11 * SECOND);
+
+        assertThat(starts(mScheduler.advance(11 * SECOND)).getFirst().upstream())
+                .isEqualTo(engines.getFirst());
+    }
+
+    @Test
+    void aRestartSeenOnTheListEndsTheAttemptsAtTheRunBefore() {
+        Decision.Start first = offer(stream(1, 2, 8_000, 0), 0);
+        mScheduler.progress(1, 1, new Progress(1, SECOND, 0));
+        Upstream old = first.upstream();
+        mEngines.remove(old);
+        mEngines.add(new Upstream("new", 2, "service", old.address(), old.zone(), 16, false));
+
+        mScheduler.upstreams(mEngines, SECOND + 100 * MS);
+
+        assertThat(starts(mScheduler.advance(SECOND + 100 * MS)).getFirst().upstream())
+                .isEqualTo(first.copyKeeper());
+    }
+
+    @Test
+    void anEntryThatIsOnlyRemovedLetsItsAttemptsGoOn() {
+        Decision.Start first = offer(stream(1, 2, 8_000, 0), 0);
+        mScheduler.progress(1, 1, new Progress(1, SECOND, 0));
+        mEngines.remove(first.upstream());
+
+        mScheduler.upstreams(mEngines, SECOND + 100 * MS);
+
+        assertThat(mScheduler.advance(SECOND + 100 * MS)).isEmpty();
+    }
+
+    @Test
+    void aStreamThatMayRunOnceIsNotRepeatedAfterALoss() {
+        Work once =
+                new Work(
+                        1,
+                        "request-1",
+                        "service",
+                        "team",
+                        RequestKind.SINGLE_STREAM,
+                        2,
+                        stream(1, 2, 8_000, 0).generation(),
+                        0,
+                        10 * SECOND,
+                        25 * SECOND,
+                        700 * MS,
+                        5,
+                        0);
+        Decision.Start start = offer(once, 0);
+        mScheduler.attemptEnded(1, 1, AttemptEnd.RESET, SECOND);
+
+        assertThat(start.copyKeeper()).isNull();
+        List<Decision> due = mScheduler.advance(SECOND);
+        assertThat(starts(due)).isEmpty();
+        assertThat(finishes(due).getFirst().ending()).isEqualTo(Ending.UNKNOWN);
+    }
+
+    @Test
+    void memoryIsNotPlannedBeyondItsSize() {
+        mScheduler.upstreams(List.of(mEngines.getFirst()), 0);
+        for (int id = 1; id <= 8; id++) {
+            long now = id * 10 * MS;
+            mScheduler.offer(stream(id, 2, 14_000, now), now);
+            if (!starts(mScheduler.advance(now)).isEmpty()) {
+                mScheduler.progress(id, 1, new Progress(1, now + MS, 0));
+            }
+            int memory = 0;
+            for (RunShare run : mScheduler.share(now).runs()) {
+                memory += run.memory();
+            }
+            assertThat(memory).isPositive().isLessThanOrEqualTo(88_000);
+        }
+    }
+
+    @Test
+    void withoutAnEngineAGenerationIsRefusedAtOnce() {
+        mScheduler.upstreams(List.of(), 0);
+        mScheduler.offer(stream(1, 0, 8_000, 0), 0);
+
+        assertThat(finishes(mScheduler.advance(0)).getFirst().ending()).isEqualTo(Ending.REFUSED);
+    }
+
+    @Test
+    void aGenerationThatComesBackGoesWhereItsPromptIsKept() {
+        mScheduler.peerShare(
+                "peer",
+                new LoadShare(
+                        "service",
+                        1,
+                        List.of(new RunShare("c1", 1_001, 8_000, 9_000, 2_000, false, "")),
+                        0,
+                        List.of()),
+                0);
+        Work again = stream(1, 2, 8_000, 0);
+        Work resumed =
+                new Work(
+                        1,
+                        "request-x",
+                        "service",
+                        "team",
+                        RequestKind.RESUMABLE_STREAM,
+                        2,
+                        again.generation(),
+                        0,
+                        10 * SECOND,
+                        25 * SECOND,
+                        700 * MS,
+                        5,
+                        17);
+
+        assertThat(offer(resumed, 0).upstream().id()).isEqualTo("c1");
+    }
+
+    private Decision.Start offer(Work work, long now) {
+        mScheduler.offer(work, now);
+        return starts(mScheduler.advance(now)).getLast();
+    }
+}
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -64,6 +65,7 @@
     private @Nullable ScheduledFuture<?> mTimer;
     private long mQuietSince;
     private boolean mArriving;
+    private boolean mAnswersHead;
     private boolean mClosing;
 
     EdgeConnection(EdgeOptions options, RequestHandler handler) {
@@ -140,6 +142,11 @@
         }
     }
 
+    /** Tells whether the request that is being answered asks for the head only. */
+    boolean answersHeadRequest() {
+        return mAnswersHead;
+    }
+
     /** Closes the connection when it is idle; otherwise after the answer that is due. */
     void closeWhenIdle() {
         ChannelHandlerContext context = mContext;
@@ -230,6 +237,7 @@
         mHead = null;
         mBody = null;
         mArriving = false;
+        mAnswersHead = head.method().equals(HttpMethod.HEAD);
         String host = head.headers().get(HttpHeaderNames.HOST, "");
         CallerRequest request =
                 new CallerRequest(
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeServer.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeServer.java
@@ -10,8 +10,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Collections;
@@ -21,8 +19,6 @@
 
 /** Accepts the connections of callers. */
 public final class EdgeServer {
-    private static final int MAX_CHUNK_BYTES = 65_536;
-
     /** Connections that wait to be accepted; beyond that the kernel drops opening packets. */
     private static final int BACKLOG = 1024;
 
@@ -110,19 +106,14 @@
         EdgeConnection connection = new EdgeConnection(mOptions, mHandler);
         mConnections.add(connection);
         channel.closeFuture().addListener(closed -> mConnections.remove(connection));
-        HttpDecoderConfig decoder =
-                new HttpDecoderConfig()
-                        .setMaxInitialLineLength(limits.maxHeaderBytes())
-                        .setMaxHeaderSize(limits.maxHeaderBytes())
-                        .setMaxChunkSize(MAX_CHUNK_BYTES);
-        channel.pipeline()
-                .addLast(new ArrivalMonitor(connection))
-                .addLast(new HttpServerCodec(decoder))
-                .addLast(connection);
+        channel.pipeline().addLast(new ArrivalMonitor(connection));
+        CallerCodec.addTo(
+                channel.pipeline(), limits.maxHeaderBytes(), connection::answersHeadRequest);
+        channel.pipeline().addLast(connection);
     }
 
     /** Tells the connection of bytes before they make up a request. */
-    private static final class ArrivalMonitor extends ChannelInboundHandlerAdapter {
+    static final class ArrivalMonitor extends ChannelInboundHandlerAdapter {
         private final EdgeConnection mConnection;
 
         ArrivalMonitor(EdgeConnection connection) {
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamClient.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamClient.java
@@ -174,7 +174,7 @@
         return connecting;
     }
 
-    private static void build(Channel channel, UpstreamConnection connection) {
+    static void build(Channel channel, UpstreamConnection connection) {
         HttpDecoderConfig decoder =
                 new HttpDecoderConfig()
                         .setMaxInitialLineLength(MAX_HEAD_BYTES)
--- /dev/null
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/PlainDialect.java
@@ -0,0 +1,65 @@
+package org.gentianwalk.gateway.http;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.time.Duration;
+import org.gentianwalk.gateway.wire.AnswerHead;
+import org.gentianwalk.gateway.wire.CallerHead;
+import org.gentianwalk.gateway.wire.MalformedHeadException;
+import org.gentianwalk.gateway.wire.UpstreamHead;
+import org.gentianwalk.gateway.wire.WireDialect;
+
+/** A dialect of the tests' own, so that they do not depend on any platform. */
+public final class PlainDialect implements WireDialect {
+    @Override
+    public CallerHead callerHead(HttpRequest request) throws MalformedHeadException {
+        HttpHeaders headers = request.headers();
+        if (headers.contains("x-bad")) {
+            throw new MalformedHeadException("x-bad can't be read");
+        }
+        String patience = headers.get("x-patience");
+        return new CallerHead(
+                headers.get("x-id", ""),
+                patience == null ? null : Duration.ofMillis(Long.parseLong(patience)),
+                headers.get("x-key"),
+                headers.getInt("x-last", 0),
+                null);
+    }
+
+    @Override
+    public void toUpstream(HttpHeaders headers, UpstreamHead head) {
+        headers.set("x-left", head.timeLeft().toMillis());
+        headers.set("x-run", head.upstreamId());
+        if (head.lastEvent() > 0) {
+            headers.set("x-last", head.lastEvent());
+        }
+    }
+
+    @Override
+    public AnswerHead answerHead(HttpResponse response) {
+        HttpHeaders headers = response.headers();
+        String keepAlive = headers.get("x-keep");
+        int status = response.status().code();
+        return new AnswerHead(
+                headers.get("x-id"),
+                status,
+                status == 421 || headers.contains("x-not-run"),
+                status == 421,
+                null,
+                headers.contains("x-signed"),
+                headers.contains("x-events"),
+                null,
+                keepAlive == null ? null : Duration.ofSeconds(Long.parseLong(keepAlive)));
+    }
+
+    @Override
+    public void toCaller(HttpHeaders headers) {
+        headers.remove("x-not-run");
+    }
+
+    @Override
+    public String readyPath() {
+        return "/ready";
+    }
+}
--- /dev/null
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
@@ -0,0 +1,218 @@
+package org.gentianwalk.gateway.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.gentianwalk.core.time.ManualTicker;
+import org.gentianwalk.gateway.http.UpstreamListener.Failure;
+import org.gentianwalk.gateway.wire.AnswerHead;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against answers of one request that are taken for another's, and cut ones for whole. */
+class UpstreamConnectionTest {
+    private static final String OK =
+            "HTTP/1.1 200 OK\r\nx-id: one\r\nx-signed: 1\r\nContent-Length: 5\r\n\r\nhello";
+
+    private final ManualTicker mTicker = new ManualTicker();
+    private final UpstreamClient mClient = new UpstreamClient(null, new PlainDialect(), mTicker);
+    private final Heard mHeard = new Heard();
+    private UpstreamConnection mConnection;
+    private EmbeddedChannel mChannel;
+
+    @BeforeEach
+    void connect() {
+        mConnection = new UpstreamConnection(mClient, "10.0.0.1:80");
+        mChannel = new EmbeddedChannel();
+        UpstreamClient.build(mChannel, mConnection);
+    }
+
+    @Test
+    void aWholeAnswerIsHandedOverAndTheConnectionKept() {
+        send("one", false);
+        answer(OK);
+
+        assertThat(mHeard.mBody.toString()).isEqualTo("hello");
+        assertThat(mHeard.mComplete).isTrue();
+        assertThat(mConnection.isUsable(mTicker.nanos(), false)).isTrue();
+    }
+
+    @Test
+    void anAnswerToAnotherRequestIsDroppedAndTheRightOneTaken() {
+        send("two", true);
+        answer(OK);
+        assertThat(mHeard.mHead).isNull();
+
+        answer(OK.replace("one", "two").replace("hello", "world"));
+
+        assertThat(mHeard.mBody.toString()).isEqualTo("world");
+        assertThat(mHeard.mComplete).isTrue();
+        assertThat(mChannel.isOpen()).as("a connection with stray answers is not kept").isFalse();
+    }
+
+    @Test
+    void aSecondAnswerOnAnIdleConnectionClosesIt() {
+        send("one", false);
+        answer(OK);
+        answer(OK);
+
+        assertThat(mChannel.isOpen()).isFalse();
+        assertThat(mHeard.mBody.toString()).isEqualTo("hello");
+    }
+
+    @Test
+    void bytesThatAreNoAnswerFailTheRequest() {
+        send("one", false);
+        answer("\u0001\u0002 garbage\r\n\r\n");
+
+        assertThat(mHeard.mFailure).isEqualTo(Failure.GARBLED);
+    }
+
+    @Test
+    void aBodyShorterThanItsLengthIsBroken() {
+        send("one", false);
+        answer(OK.substring(0, OK.length() - 2));
+        mChannel.close();
+
+        assertThat(mHeard.mComplete).isFalse();
+        assertThat(mHeard.mFailure).isEqualTo(Failure.BROKEN);
+    }
+
+    @Test
+    void aBodyInChunksWithoutItsEndIsBroken() {
+        send("one", false);
+        answer("HTTP/1.1 200 OK\r\nx-id: one\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
+        mChannel.close();
+
+        assertThat(mHeard.mComplete).isFalse();
+        assertThat(mHeard.mFailure).isEqualTo(Failure.BROKEN);
+    }
+
+    @Test
+    void aBodyWithoutALengthEndsWithItsConnection() {
+        send("one", false);
+        answer("HTTP/1.1 200 OK\r\nx-id: one\r\nx-signed: 1\r\n\r\nhello");
+        mChannel.close();
+
+        assertThat(mHeard.mComplete).isTrue();
+    }
+
+    @Test
+    void aBodyWithoutALengthThatEndsWithAResetIsBroken() {
+        send("one", false);
+        answer("HTTP/1.1 200 OK\r\nx-id: one\r\nx-signed: 1\r\n\r\nhel");
+        mChannel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+
+        assertThat(mHeard.mComplete).isFalse();
+        assertThat(mHeard.mFailure).isEqualTo(Failure.BROKEN);
+    }
+
+    @Test
+    void aReusedConnectionThatBreaksBeforeAnyAnswerIsStale() {
+        send("one", true);
+        mChannel.close();
+
+        assertThat(mHeard.mFailure).isEqualTo(Failure.STALE);
+    }
+
+    @Test
+    void aNewConnectionThatBreaksIsNotStale() {
+        send("one", false);
+        mChannel.close();
+
+        assertThat(mHeard.mFailure).isEqualTo(Failure.BROKEN);
+    }
+
+    @Test
+    void aConnectionIsNotUsedBeyondTheTimeThatTheUpstreamStates() {
+        send("one", false);
+        answer(OK.replace("x-signed: 1", "x-signed: 1\r\nx-keep: 3"));
+
+        mTicker.advance(Duration.ofMillis(1_000));
+        assertThat(mConnection.isUsable(mTicker.nanos(), true)).isTrue();
+        mTicker.advance(Duration.ofMillis(500));
+        assertThat(mConnection.isUsable(mTicker.nanos(), true))
+                .as("a request that may run once needs a connection in recent use")
+                .isFalse();
+        assertThat(mConnection.isUsable(mTicker.nanos(), false)).isTrue();
+        mTicker.advance(Duration.ofMillis(1_000));
+        assertThat(mConnection.isUsable(mTicker.nanos(), false)).isFalse();
+    }
+
+    @Test
+    void theUpstreamsCloseIsRespected() {
+        send("one", false);
+        answer(OK.replace("x-signed: 1", "Connection: close"));
+
+        assertThat(mHeard.mComplete).isTrue();
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    @Test
+    void aCancelledRequestClosesItsConnectionAndIsHeardNoMore() {
+        send("one", false);
+        mConnection.cancel();
+
+        assertThat(mChannel.isOpen()).isFalse();
+        assertThat(mHeard.mFailure).isNull();
+    }
+
+    @Test
+    void aContinueBeforeTheAnswerIsSkipped() {
+        send("one", false);
+        answer("HTTP/1.1 100 Continue\r\n\r\n" + OK);
+
+        assertThat(mHeard.mComplete).isTrue();
+    }
+
+    private void send(String id, boolean reused) {
+        HttpHeaders headers = new DefaultHttpHeaders().set("x-id", id);
+        mConnection.send(
+                new UpstreamRequest(HttpMethod.GET, "/a", () -> headers, new byte[0], id, false),
+                mHeard,
+                reused);
+        for (ByteBuf part = mChannel.readOutbound(); part != null; part = mChannel.readOutbound()) {
+            part.release();
+        }
+    }
+
+    private void answer(String text) {
+        mChannel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+    }
+
+    /** What the connection told. */
+    private static final class Heard implements UpstreamListener {
+        private AnswerHead mHead;
+        private final StringBuilder mBody = new StringBuilder();
+        private boolean mComplete;
+        private Failure mFailure;
+
+        @Override
+        public void head(AnswerHead head, HttpHeaders headers) {
+            mHead = head;
+        }
+
+        @Override
+        public void body(byte[] part) {
+            mBody.append(new String(part, StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void complete() {
+            mComplete = true;
+        }
+
+        @Override
+        public void failed(Failure failure, String cause) {
+            mFailure = failure;
+        }
+    }
+}
