--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import org.gentianwalk.gateway.http.EdgeServer;
 import org.gentianwalk.gateway.http.StatusServer;
 import org.gentianwalk.gateway.http.UpstreamClient;
+import org.gentianwalk.gateway.http.UpstreamSender;
 import org.gentianwalk.gateway.store.RowStore;
 import org.gentianwalk.gateway.store.SharedRows;
 import org.gentianwalk.gateway.traffic.Exchange;
@@ -47,7 +48,7 @@
     private final EdgeServer mEdge;
     private final UpstreamClient mClient;
     private final WireDialect mDialect;
-    private final BiFunction<UpstreamClient, ScheduledExecutorService, RowStore> mStore;
+    private final BiFunction<UpstreamSender, ScheduledExecutorService, RowStore> mStore;
     private volatile boolean mStopping;
 
     /**
@@ -62,7 +63,7 @@
             GatewaySettings settings,
             WireDialect dialect,
             SharedRows rows,
-            BiFunction<UpstreamClient, ScheduledExecutorService, RowStore> store) {
+            BiFunction<UpstreamSender, ScheduledExecutorService, RowStore> store) {
         Ticker ticker = Ticker.system();
         mSettings = settings;
         mDialect = dialect;
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamClient.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamClient.java
@@ -26,7 +26,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** Sends requests to upstreams and keeps connections for reuse. It never repeats a request. */
-public final class UpstreamClient {
+public final class UpstreamClient implements UpstreamSender {
     /** How long an idle connection is used when the upstream does not say how long it keeps it. */
     static final Duration DEFAULT_KEEP_ALIVE = Duration.ofSeconds(4);
 
@@ -61,15 +61,7 @@
         mTicker = ticker;
     }
 
-    /**
-     * Sends a request.
-     *
-     * @param address IP number and port of the upstream
-     * @param request the request
-     * @param listener learns what comes back; not called before this method returns, unless the
-     *     request fails at once
-     * @return the call
-     */
+    @Override
     public UpstreamCall send(String address, UpstreamRequest request, UpstreamListener listener) {
         UpstreamConnection idle = takeIdle(address, request.once());
         if (idle != null) {
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -13,9 +13,9 @@
 import org.gentianwalk.gateway.http.CallerRequest;
 import org.gentianwalk.gateway.http.RequestHandler;
 import org.gentianwalk.gateway.http.UpstreamCall;
-import org.gentianwalk.gateway.http.UpstreamClient;
 import org.gentianwalk.gateway.http.UpstreamListener;
 import org.gentianwalk.gateway.http.UpstreamRequest;
+import org.gentianwalk.gateway.http.UpstreamSender;
 import org.gentianwalk.gateway.wire.AnswerHead;
 import org.gentianwalk.gateway.wire.UpstreamHead;
 import org.gentianwalk.gateway.wire.WireDialect;
@@ -86,7 +86,7 @@
      * @param ticker clock
      */
     public record Collaborators(
-            UpstreamClient client, WireDialect dialect, ControlPort control, Ticker ticker) {}
+            UpstreamSender client, WireDialect dialect, ControlPort control, Ticker ticker) {}
 
     /**
      * Starts an attempt; one that runs is cancelled.
--- /dev/null
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/settings/SettingsReaderTest.java
@@ -0,0 +1,73 @@
+package org.gentianwalk.gateway.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.net.URISyntaxException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Objects;
+import org.gentianwalk.core.model.Location.Distance;
+import org.gentianwalk.gateway.GatewaySettings;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against instances that start with settings that nobody meant. */
+class SettingsReaderTest {
+    @Test
+    void aWholeFileIsRead() throws Exception {
+        GatewaySettings settings = read("whole");
+
+        assertThat(settings.name()).isEqualTo("front-1");
+        assertThat(settings.locations().distance("b")).isEqualTo(Distance.SAME_REGION);
+        assertThat(settings.callers().getPort()).isEqualTo(8740);
+        assertThat(settings.retries().ratio()).isEqualTo(0.8);
+        assertThat(settings.stopGrace()).isEqualTo(Duration.ofSeconds(8));
+        assertThat(settings.mesh().keys()).singleElement();
+    }
+
+    @Test
+    void whatIsLeftOutHasADefault() throws Exception {
+        GatewaySettings settings = read("least");
+
+        assertThat(settings.metrics()).isNull();
+        assertThat(settings.logLevel()).isEqualTo("info");
+        assertThat(settings.stopGrace()).isPositive();
+    }
+
+    @Test
+    void aSecretIsNotPrinted() throws Exception {
+        assertThat(read("whole").toString()).doesNotContain("a-secret-of-many-letters");
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "unknown-key, unknown key retry_ration",
+        "no-name, key name is missing",
+        "no-port, key callers must be an IP number and a port",
+        "bad-number, key retry_ratio must be a number",
+        "out-of-range, key stop_grace_s must be a number",
+        "short-secret, at least 16 bytes",
+        "bad-level, key log_level must be one of",
+        "no-yaml, it has to be YAML",
+        "list, must hold keys with values"
+    })
+    void whatIsWrongIsRefusedWithTheKeyAndTheRemedy(String file, String message) {
+        assertThatThrownBy(() -> read(file))
+                .isInstanceOf(SettingsException.class)
+                .hasMessageContaining(message);
+    }
+
+    private static GatewaySettings read(String name)
+            throws SettingsException, URISyntaxException, IOException {
+        return new SettingsReader()
+                .read(
+                        Path.of(
+                                Objects.requireNonNull(
+                                                SettingsReaderTest.class.getResource(
+                                                        "/settings/" + name + ".yaml"))
+                                        .toURI()));
+    }
+}
--- /dev/null
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -0,0 +1,413 @@
+package org.gentianwalk.gateway.traffic;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.gentianwalk.core.dispatch.AttemptEnd;
+import org.gentianwalk.core.dispatch.Decision;
+import org.gentianwalk.core.dispatch.Decision.Ending;
+import org.gentianwalk.core.dispatch.Progress;
+import org.gentianwalk.core.dispatch.Upstream;
+import org.gentianwalk.core.dispatch.UpstreamLoad;
+import org.gentianwalk.core.dispatch.Work;
+import org.gentianwalk.core.route.RequestKind;
+import org.gentianwalk.core.time.ManualTicker;
+import org.gentianwalk.gateway.http.CallerChannel;
+import org.gentianwalk.gateway.http.CallerRequest;
+import org.gentianwalk.gateway.http.PlainDialect;
+import org.gentianwalk.gateway.http.UpstreamCall;
+import org.gentianwalk.gateway.http.UpstreamListener;
+import org.gentianwalk.gateway.http.UpstreamListener.Failure;
+import org.gentianwalk.gateway.http.UpstreamRequest;
+import org.gentianwalk.gateway.wire.AnswerHead;
+import org.gentianwalk.gateway.wire.CallerHead;
+import org.junit.jupiter.api.Test;
+
+/** Guards against answers that are cut, mixed or given twice, and against false refusals. */
+class ExchangeTest {
+    private static final Upstream FIRST =
+            new Upstream("first", 1, "service", "10.0.0.1:80", "a", 6, false);
+    private static final Upstream SECOND =
+            new Upstream("second", 1, "service", "10.0.0.2:80", "b", 6, false);
+
+    private final ManualTicker mTicker = new ManualTicker();
+    private final RecordedControl mControl = new RecordedControl();
+    private final RecordedChannel mCaller = new RecordedChannel();
+    private final List<Sent> mSent = new ArrayList<>();
+
+    @Test
+    void aWholeAnswerIsPassedOnOnce() {
+        Exchange exchange = exchange(RequestKind.IDEMPOTENT_CALL, 0);
+        start(exchange, 1, FIRST);
+        answer(0, 200, true, false, "hello");
+        exchange.finish(finish(Ending.REFUSED));
+
+        assertThat(mCaller.mLog).containsExactly("answer 200 hello");
+        assertThat(mControl.mLog).containsExactly("delivered 1");
+    }
+
+    @Test
+    void aSuccessWithoutASignatureIsNotPassedOn() {
+        Exchange exchange = exchange(RequestKind.IDEMPOTENT_CALL, 0);
+        start(exchange, 1, FIRST);
+        answer(0, 200, false, false, "hello");
+
+        assertThat(mCaller.mLog).isEmpty();
+        assertThat(mControl.mLog).containsExactly("ended 1 LOST");
+    }
+
+    @Test
+    void anErrorAnswerIsKeptUntilItIsKnownThatNoOtherFollows() {
+        Exchange exchange = exchange(RequestKind.IDEMPOTENT_CALL, 0);
+        start(exchange, 1, FIRST);
+        answer(0, 500, true, false, "broken");
+        assertThat(mCaller.mLog).isEmpty();
+
+        exchange.finish(finish(Ending.UPSTREAM_ERROR));
+
+        assertThat(mControl.mLog).containsExactly("ended 1 ANSWERED_ERROR");
+        assertThat(mCaller.mLog).containsExactly("answer 500 broken");
+    }
+
+    @Test
+    void theUpstreamsWordThatItHasNotRunTheRequestIsReported() {
+        Exchange exchange = exchange(RequestKind.SINGLE_CALL, 0);
+        start(exchange, 1, FIRST);
+        Sent sent = mSent.getFirst();
+        sent.listener().head(head(503, false, false, true), new DefaultHttpHeaders());
+        sent.listener().complete();
+
+        assertThat(mControl.mLog).containsExactly("ended 1 REJECTED");
+    }
+
+    @Test
+    void anUpstreamsErrorThatDoesNotSayNotRunCountsAsRun() {
+        Exchange exchange = exchange(RequestKind.SINGLE_CALL, 0);
+        start(exchange, 1, FIRST);
+        answer(0, 503, false, false, "");
+
+        assertThat(mControl.mLog).containsExactly("ended 1 ANSWERED_ERROR");
+    }
+
+    @Test
+    void aRequestThatMayRunOnceIsNotSentAgainOnAStaleConnection() {
+        Exchange exchange = exchange(RequestKind.SINGLE_CALL, 0);
+        start(exchange, 1, FIRST);
+        mSent.getFirst().listener().failed(Failure.STALE, "closed");
+
+        assertThat(mSent).hasSize(1);
+        assertThat(mControl.mLog).containsExactly("ended 1 RESET");
+    }
+
+    @Test
+    void anIdempotentRequestIsSentOnceMoreOnAStaleConnection() {
+        Exchange exchange = exchange(RequestKind.IDEMPOTENT_CALL, 0);
+        start(exchange, 1, FIRST);
+        mSent.get(0).listener().failed(Failure.STALE, "closed");
+        mSent.get(1).listener().failed(Failure.STALE, "closed");
+
+        assertThat(mSent).hasSize(2);
+        assertThat(mControl.mLog).containsExactly("ended 1 RESET");
+    }
+
+    @Test
+    void aStreamGoesOnElsewhereWithoutAGapOrARepeat() {
+        Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 0);
+        start(exchange, 1, FIRST);
+        events(0, "id: 1\n\nid: 2\n\nid: 3\nda");
+        mSent.get(0).listener().failed(Failure.BROKEN, "reset");
+        start(exchange, 2, SECOND);
+        events(1, "id: 2\n\nid: 3\n\nid: 4\n\n");
+        mSent.get(1).listener().complete();
+
+        assertThat(mCaller.mLog)
+                .containsExactly(
+                        "begin 200",
+                        "part id: 1\n\n",
+                        "part id: 2\n\n",
+                        "part id: 3\n\n",
+                        "part id: 4\n\n",
+                        "end");
+        assertThat(mSent.get(1).headers().get("x-last")).isEqualTo("2");
+    }
+
+    @Test
+    void aGapInTheNumbersEndsTheAttempt() {
+        Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 0);
+        start(exchange, 1, FIRST);
+        events(0, "id: 1\n\nid: 3\n\n");
+
+        assertThat(mCaller.mLog).containsExactly("begin 200", "part id: 1\n\n");
+        assertThat(mControl.mLog).last().isEqualTo("ended 1 LOST");
+        assertThat(mSent.getFirst().cancelled()).isTrue();
+    }
+
+    @Test
+    void aCallerThatComesBackGetsWhatFollowsItsLastEvent() {
+        Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 7);
+        start(exchange, 1, FIRST);
+        events(0, "id: 7\n\nid: 8\n\n");
+
+        assertThat(mSent.getFirst().headers().get("x-last")).isEqualTo("7");
+        assertThat(mCaller.mLog).containsExactly("begin 200", "part id: 8\n\n");
+    }
+
+    @Test
+    void aStreamThatCantGoOnDoesNotLookComplete() {
+        Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 0);
+        start(exchange, 1, FIRST);
+        events(0, "id: 1\n\n");
+        exchange.finish(finish(Ending.TIMED_OUT));
+
+        assertThat(mCaller.mLog).endsWith("abort");
+        assertThat(mSent.getFirst().cancelled()).isTrue();
+    }
+
+    @Test
+    void lateBytesOfAnEarlierAttemptAreDropped() {
+        Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 0);
+        start(exchange, 1, FIRST);
+        events(0, "id: 1\n\n");
+        start(exchange, 2, SECOND);
+        mSent.get(0).listener().body("id: 2\n\n".getBytes(StandardCharsets.UTF_8));
+        mSent.get(0).listener().complete();
+
+        assertThat(mCaller.mLog).containsExactly("begin 200", "part id: 1\n\n");
+        assertThat(mSent.get(0).cancelled()).isTrue();
+    }
+
+    @Test
+    void theAttemptOfACallerThatLeftIsCancelled() {
+        Exchange exchange = exchange(RequestKind.SINGLE_CALL, 0);
+        start(exchange, 1, FIRST);
+        exchange.callerGone();
+
+        assertThat(mSent.getFirst().cancelled()).isTrue();
+        assertThat(mControl.mLog).containsExactly("withdrawn");
+    }
+
+    @Test
+    void anAttemptDecidedWhileTheCallerLeftIsNotSent() {
+        Exchange exchange = exchange(RequestKind.SINGLE_CALL, 0);
+        exchange.callerGone();
+        start(exchange, 1, FIRST);
+
+        assertThat(mSent).isEmpty();
+    }
+
+    @Test
+    void anUpstreamIsToldTheTimeThatIsLeft() {
+        Exchange exchange = exchange(RequestKind.SINGLE_CALL, 0);
+        mTicker.advance(Duration.ofMillis(400));
+        start(exchange, 1, FIRST);
+
+        HttpHeaders headers = mSent.getFirst().headers();
+        assertThat(headers.get("x-left")).isEqualTo("600");
+        assertThat(headers.get("x-run")).isEqualTo("first");
+    }
+
+    @Test
+    void anUpstreamIsPausedWhileItsCallerDoesNotRead() {
+        Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 0);
+        start(exchange, 1, FIRST);
+        mCaller.mWritable = false;
+        events(0, "id: 1\n\n");
+        assertThat(mSent.getFirst().mReading).isFalse();
+
+        mCaller.mWritable = true;
+        exchange.writabilityChanged();
+        assertThat(mSent.getFirst().mReading).isTrue();
+    }
+
+    @Test
+    void aLongAnswerIsPassedOnInPartsAndCutWhenItBreaks() {
+        Exchange exchange = exchange(RequestKind.IDEMPOTENT_CALL, 0);
+        start(exchange, 1, FIRST);
+        Sent sent = mSent.getFirst();
+        sent.listener().head(head(200, true, false, false), new DefaultHttpHeaders());
+        sent.listener().body(new byte[300 << 10]);
+        sent.listener().failed(Failure.BROKEN, "reset");
+        exchange.finish(finish(Ending.UNKNOWN));
+
+        assertThat(mCaller.mLog.getFirst()).isEqualTo("begin 200");
+        assertThat(mCaller.mLog.getLast()).isEqualTo("abort");
+    }
+
+    private Exchange exchange(RequestKind kind, long lastEvent) {
+        Work work =
+                new Work(
+                        1,
+                        "id-1",
+                        "service",
+                        "",
+                        kind,
+                        2,
+                        null,
+                        0,
+                        0,
+                        Duration.ofSeconds(1).toNanos(),
+                        0,
+                        3,
+                        lastEvent);
+        CallerRequest request =
+                new CallerRequest(
+                        HttpMethod.POST,
+                        "/a",
+                        "h",
+                        new DefaultHttpHeaders(),
+                        new CallerHead("id-1", null, null, lastEvent, null),
+                        new byte[0],
+                        0);
+        return new Exchange(
+                work,
+                request,
+                mCaller,
+                new Exchange.Collaborators(
+                        (address, sent, listener) -> {
+                            Sent each = new Sent(sent, listener);
+                            mSent.add(each);
+                            return each;
+                        },
+                        new PlainDialect(),
+                        mControl,
+                        mTicker));
+    }
+
+    private static void start(Exchange exchange, int attempt, Upstream upstream) {
+        exchange.start(new Decision.Start(null, attempt, upstream, 0, null, null, "test"));
+    }
+
+    private static Decision.Finish finish(Ending ending) {
+        return new Decision.Finish(null, ending, Duration.ZERO, "test");
+    }
+
+    private void answer(int index, int status, boolean signed, boolean events, String body) {
+        UpstreamListener listener = mSent.get(index).listener();
+        listener.head(head(status, signed, events, false), new DefaultHttpHeaders());
+        listener.body(body.getBytes(StandardCharsets.UTF_8));
+        listener.complete();
+    }
+
+    private void events(int index, String text) {
+        UpstreamListener listener = mSent.get(index).listener();
+        listener.head(head(200, true, true, false), new DefaultHttpHeaders());
+        listener.body(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static AnswerHead head(int status, boolean signed, boolean events, boolean notRun) {
+        return new AnswerHead(
+                "id-1", status, notRun, false, null, signed, events, (UpstreamLoad) null, null);
+    }
+
+    /** A request that was sent. */
+    private static final class Sent implements UpstreamCall {
+        private final HttpHeaders mHeaders;
+        private final UpstreamListener mListener;
+        private boolean mCancelled;
+        private boolean mReading = true;
+
+        Sent(UpstreamRequest request, UpstreamListener listener) {
+            mHeaders = request.headers().get();
+            mListener = listener;
+        }
+
+        HttpHeaders headers() {
+            return mHeaders;
+        }
+
+        UpstreamListener listener() {
+            return mListener;
+        }
+
+        boolean cancelled() {
+            return mCancelled;
+        }
+
+        @Override
+        public void cancel() {
+            mCancelled = true;
+        }
+
+        @Override
+        public void reading(boolean reading) {
+            mReading = reading;
+        }
+    }
+
+    /** Records what the control thread is told. */
+    private static final class RecordedControl implements ControlPort {
+        private final List<String> mLog = new ArrayList<>();
+
+        @Override
+        public void arrived(Work work, Exchange exchange) {
+            mLog.add("arrived");
+        }
+
+        @Override
+        public void progress(long work, int attempt, Progress progress) {
+            // Reports of progress have tests of their own.
+        }
+
+        @Override
+        public void ended(long work, int attempt, AttemptEnd end, String cause, UpstreamLoad load) {
+            mLog.add("ended " + attempt + " " + end);
+        }
+
+        @Override
+        public void delivered(long work, int attempt, Delivery delivery, UpstreamLoad load) {
+            mLog.add("delivered " + attempt);
+        }
+
+        @Override
+        public void withdrawn(long work) {
+            mLog.add("withdrawn");
+        }
+    }
+
+    /** Records what the caller gets. */
+    private static final class RecordedChannel implements CallerChannel {
+        private final List<String> mLog = new ArrayList<>();
+        private boolean mWritable = true;
+
+        @Override
+        public void answer(int status, HttpHeaders headers, byte[] body) {
+            mLog.add("answer " + status + " " + new String(body, StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void answer(int status, String message, Duration retryAfter) {
+            mLog.add("own answer " + status);
+        }
+
+        @Override
+        public void begin(int status, HttpHeaders headers) {
+            mLog.add("begin " + status);
+        }
+
+        @Override
+        public void write(byte[] part) {
+            mLog.add("part " + new String(part, StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void end() {
+            mLog.add("end");
+        }
+
+        @Override
+        public void abort() {
+            mLog.add("abort");
+        }
+
+        @Override
+        public boolean isWritable() {
+            return mWritable;
+        }
+    }
+}
