Share the retry budget over the fleet; do not try ended runs again

Change: instances tell each other requests and further attempts of the window; a run that is over stays marked until the list names another.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -125,7 +125,7 @@
         switch (end) {
             case SUCCEEDED, ANSWERED_ERROR, REJECTED -> target.mReachability.succeeded();
             case UNREACHABLE, RESET, LOST -> target.mReachability.failed(nowNanos);
-            default -> mTargets.remove(target.mUpstream.id(), target);
+            default -> target.mOver = true;
         }
         if (end == AttemptEnd.SUCCEEDED) {
             double millis = (nowNanos - call.mStartedAt) / NANOS_PER_MILLI;
@@ -235,7 +235,7 @@
         Target best = null;
         double bestCost = 0;
         for (Target target : mTargets.values()) {
-            if (target.mUpstream.draining()) {
+            if (target.mOver || target.mUpstream.draining()) {
                 continue;
             }
             double cost = cost(target, call, nowNanos);
@@ -287,6 +287,10 @@
         int mRunning;
         int mOthers;
         long mStatedAt;
+
+        /** The run has ended, although it is still listed. */
+        boolean mOver;
+
         final Reachability mReachability = new Reachability();
 
         Target(Upstream upstream) {
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineBoard.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineBoard.java
@@ -69,10 +69,6 @@
         return mEngines.values();
     }
 
-    void remove(EngineState engine) {
-        mEngines.remove(engine.upstream().id(), engine);
-    }
-
     void peerShare(String instance, LoadShare share, long nowNanos) {
         Seen before = mPeers.get(instance);
         if (before != null && before.share().number() >= share.number()) {
@@ -150,7 +146,8 @@
 
     /** Tells whether new work may go to an engine. */
     boolean isUsable(EngineState engine, long nowNanos) {
-        if (engine.upstream().draining()
+        if (engine.isOver()
+                || engine.upstream().draining()
                 || mEngines.get(engine.upstream().id()) != engine
                 || engine.reachability().isResting(nowNanos)) {
             return false;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineState.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineState.java
@@ -23,6 +23,7 @@
     private final Map<String, List<Load>> mOthers = new HashMap<>();
     private long mLastOutput;
     private boolean mHasOutput;
+    private boolean mOver;
 
     EngineState(Upstream upstream, long nowNanos) {
         mUpstream = upstream;
@@ -55,6 +56,15 @@
         return mListedAt;
     }
 
+    /** Records that the run has ended, although it is still listed. */
+    void over() {
+        mOver = true;
+    }
+
+    boolean isOver() {
+        return mOver;
+    }
+
     Reachability reachability() {
         return mReachability;
     }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LoadShare.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LoadShare.java
@@ -11,9 +11,15 @@
  * @param runs generations at engines
  * @param waiting prompt tokens of the generations that wait in the instance
  * @param doubts engines that have just failed this instance
+ * @param usage what counts for the retry budget
  */
 public record LoadShare(
-        String service, long number, List<RunShare> runs, int waiting, List<Doubt> doubts) {
+        String service,
+        long number,
+        List<RunShare> runs,
+        int waiting,
+        List<Doubt> doubts,
+        RetryAllowance.Usage usage) {
     public LoadShare {
         runs = List.copyOf(runs);
         doubts = List.copyOf(doubts);
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/RetryAllowance.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/RetryAllowance.java
@@ -1,23 +1,27 @@
 package org.gentianwalk.core.dispatch;
 
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
 
 /**
- * Bounds further attempts at one service within a sliding window. Every instance keeps to its own
- * requests and to its part of the fleet's fixed allowance, so that the fleet as a whole stays
- * within the bound without a message.
+ * Bounds further attempts at one service within a sliding window, for the fleet as a whole.
+ * Instances tell each other how many requests and further attempts they had. What others have not
+ * yet told of is covered by the part of the bound that is left unused.
  */
 public final class RetryAllowance {
     /**
-     * Part of the bound that is used; the rest covers requests that move between instances within
-     * the window.
+     * Part of the bound that is used. A notice takes some tens of milliseconds; within that time
+     * every instance may take as many further attempts as it has requests at one engine.
      */
-    private static final double USED_PART = 0.7;
+    private static final double USED_PART = 0.75;
 
     private RetryBounds mBounds;
     private final Deque<Long> mRequests = new ArrayDeque<>();
     private final Deque<Long> mRetries = new ArrayDeque<>();
+    private final Map<String, Usage> mOthers = new HashMap<>();
     private int mInstances = 1;
 
     /**
@@ -30,7 +34,15 @@
     }
 
     /**
-     * Sets the number of instances that share the fixed allowance.
+     * What an instance had within the window.
+     *
+     * @param requests requests for the service
+     * @param retries further attempts at it
+     */
+    public record Usage(int requests, int retries) {}
+
+    /**
+     * Sets the number of instances, told or not, that share the fixed allowance.
      *
      * @param instances live instances, this one included
      */
@@ -47,6 +59,37 @@
         mBounds = bounds;
     }
 
+    /**
+     * Takes in what another instance had.
+     *
+     * @param instance the instance
+     * @param usage its usage
+     */
+    public void others(String instance, Usage usage) {
+        mOthers.put(instance, usage);
+    }
+
+    /**
+     * Forgets instances that are gone. Their further attempts then no longer count, nor do their
+     * requests.
+     *
+     * @param instances the other instances that live
+     */
+    public void retainOthers(Collection<String> instances) {
+        mOthers.keySet().retainAll(instances);
+    }
+
+    /**
+     * Returns what this instance had.
+     *
+     * @param nowNanos current time
+     * @return usage within the window
+     */
+    public Usage own(long nowNanos) {
+        expire(nowNanos);
+        return new Usage(mRequests.size(), mRetries.size());
+    }
+
     /**
      * Records a request for the service.
      *
@@ -65,8 +108,16 @@
      */
     public boolean tryRetry(long nowNanos) {
         expire(nowNanos);
-        double bound = mBounds.ratio() * mRequests.size() + mBounds.slack() / mInstances;
-        if (mRetries.size() + 1 > bound * USED_PART) {
+        int requests = mRequests.size();
+        int retries = mRetries.size() + 1;
+        for (Usage usage : mOthers.values()) {
+            requests += usage.requests();
+            retries += usage.retries();
+        }
+        // Instances that have not told of their usage keep their part of the fixed allowance.
+        double told = (double) (mOthers.size() + 1) / Math.max(mInstances, mOthers.size() + 1);
+        double bound = mBounds.ratio() * requests + mBounds.slack() * told;
+        if (retries > bound * USED_PART) {
             return false;
         }
         mRetries.add(nowNanos);
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -127,7 +127,11 @@
         switch (end) {
             case SUCCEEDED, REJECTED -> engine.reachability().succeeded();
             case UNREACHABLE, RESET, LOST, ANSWERED_ERROR -> mBoard.failed(engine, nowNanos);
-            default -> mBoard.remove(engine);
+            default -> {
+                // The run that the list names is over, which the list does not say yet.
+                mBoard.failed(engine, nowNanos);
+                engine.over();
+            }
         }
         EngineState keeper = usefulKeeper(run, end, nowNanos);
         run.ended(end);
@@ -192,7 +196,13 @@
                 runs.add(run.share(nowNanos));
             }
         }
-        return new LoadShare(mService, mShareChanges, runs, waiting, mBoard.doubts(nowNanos));
+        return new LoadShare(
+                mService,
+                mShareChanges,
+                runs,
+                waiting,
+                mBoard.doubts(nowNanos),
+                mRetries.own(nowNanos));
     }
 
     @Override
@@ -203,12 +213,14 @@
     @Override
     public void peerShare(String instance, LoadShare share, long nowNanos) {
         mBoard.peerShare(instance, share, nowNanos);
+        mRetries.others(instance, share.usage());
         dispatch(nowNanos);
     }
 
     @Override
     public void retainPeers(Collection<String> instances) {
         mBoard.retainPeers(instances);
+        mRetries.retainOthers(instances);
     }
 
     /** Ends all attempts at a run of an engine that is known to be over. */
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/Samples.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/Samples.java
@@ -21,6 +21,8 @@
 
     static final EngineSpec SPEC = new EngineSpec(16, 88_000, 6, true, Duration.ofSeconds(4));
 
+    static final RetryAllowance.Usage USAGE = new RetryAllowance.Usage(10, 0);
+
     private Samples() {}
 
     static RandomGenerator random() {
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadCodec.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadCodec.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.gentianwalk.core.dispatch.LoadShare;
+import org.gentianwalk.core.dispatch.RetryAllowance;
 import org.gentianwalk.core.dispatch.RunShare;
 import org.gentianwalk.proto.EngineDoubt;
 import org.gentianwalk.proto.RunLoad;
@@ -17,7 +18,9 @@
                 ServiceLoad.newBuilder()
                         .setService(share.service())
                         .setNumber(share.number())
-                        .setWaiting(share.waiting());
+                        .setWaiting(share.waiting())
+                        .setRequests(share.usage().requests())
+                        .setRetries(share.usage().retries());
         for (RunShare run : share.runs()) {
             message.addRuns(
                     RunLoad.newBuilder()
@@ -59,6 +62,11 @@
                             doubt.getEngine(), doubt.getIncarnation(), doubt.getAgeMs()));
         }
         return new LoadShare(
-                message.getService(), message.getNumber(), runs, message.getWaiting(), doubts);
+                message.getService(),
+                message.getNumber(),
+                runs,
+                message.getWaiting(),
+                doubts,
+                new RetryAllowance.Usage(message.getRequests(), message.getRetries()));
     }
 }
