Keep the longest usual pause of engines in the silence threshold; spare engines that bring output

Change: the estimate hardly falls; a prompt goes where it slows the fewest generations; the delay that it accepts rises with its wait; reasons of placements name what ended the attempt before.

--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/FleetModel.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/FleetModel.java
@@ -209,6 +209,11 @@
                 });
     }
 
+    /** Ends all instances at once; callers' connections break. */
+    void killInstances() {
+        mInstances.forEach(InstanceModel::die);
+    }
+
     void burst(int kind, double factor, long fromMillis, long toMillis) {
         mBursts.put(kind, new double[] {factor, fromMillis, toMillis});
     }
--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/FleetResult.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/FleetResult.java
@@ -71,6 +71,7 @@
     public static final class KindResult {
         private final FleetTraits.Kind mKind;
         private final List<Long> mFirst = new ArrayList<>();
+        private final List<Long> mWhole = new ArrayList<>();
         private int mAsked;
         private int mOnTime;
         private int mLate;
@@ -86,8 +87,9 @@
             mAsked++;
         }
 
-        void whole(boolean onTime, long firstMillis) {
+        void whole(boolean onTime, long firstMillis, long wholeMillis) {
             mFirst.add(firstMillis);
+            mWhole.add(wholeMillis);
             if (onTime) {
                 mOnTime++;
             } else {
@@ -141,7 +143,21 @@
          * @return milliseconds
          */
         public long firstMillis(double part) {
-            List<Long> sorted = mFirst.stream().sorted().toList();
+            return percentile(mFirst, part);
+        }
+
+        /**
+         * Returns a percentile of the time to the whole answer.
+         *
+         * @param part from 0 to 1
+         * @return milliseconds
+         */
+        public long wholeMillis(double part) {
+            return percentile(mWhole, part);
+        }
+
+        private static long percentile(List<Long> values, double part) {
+            List<Long> sorted = values.stream().sorted().toList();
             if (sorted.isEmpty()) {
                 return 0;
             }
@@ -152,7 +168,8 @@
         public String toString() {
             return String.format(
                     Locale.ROOT,
-                    "%s: %d asked, %d on time, %d late, %d refused, %d failed, first %d/%d ms",
+                    "%s: %d asked, %d on time, %d late, %d refused, %d failed, first %d/%d ms,"
+                            + " whole %d/%d ms",
                     mKind.name(),
                     mAsked,
                     mOnTime,
@@ -160,7 +177,9 @@
                     mRefused,
                     mFailed,
                     firstMillis(0.5),
-                    firstMillis(0.95));
+                    firstMillis(0.95),
+                    wholeMillis(0.5),
+                    wholeMillis(0.95));
         }
     }
 }
--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/InstanceModel.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/InstanceModel.java
@@ -112,6 +112,17 @@
         }
     }
 
+    /** Ends the instance; what it has open is cut off. */
+    void die() {
+        for (Open open : List.copyOf(mOpen.values())) {
+            open.cancel();
+            open.mDone = true;
+            open.mRequest.failed();
+            mScheduler.withdrawn(open.mRequest.id(), mClock.now());
+        }
+        mOpen.clear();
+    }
+
     private void carryOut() {
         for (Decision decision : mScheduler.advance(mClock.now())) {
             Open open = mOpen.get(decision.work().id());
--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/Patterns.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/Patterns.java
@@ -58,6 +58,16 @@
         };
     }
 
+    /**
+     * All instances are killed at once; what callers are getting then is cut off.
+     *
+     * @param atMillis time of the kill
+     * @return the pattern
+     */
+    public static Pattern instancesKilled(long atMillis) {
+        return model -> model.clock().at(atMillis * VirtualClock.MILLI, model::killInstances);
+    }
+
     /**
      * Engines are replaced one after the other: a new one starts, the old one takes no new work.
      *
--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/RequestModel.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/RequestModel.java
@@ -82,7 +82,7 @@
         boolean onTime =
                 first <= mKind.targetMillis()
                         && mLongestPause <= mKind.pauseMillis() * VirtualClock.MILLI;
-        mResult.whole(onTime, first);
+        mResult.whole(onTime, first, (mLastAt - mArrivedAt) / VirtualClock.MILLI);
         if (!onTime) {
             note(mLastAt, "late, longest pause " + mLongestPause / VirtualClock.MILLI + " ms");
             mResult.history(mNotes);
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineChoice.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineChoice.java
@@ -8,10 +8,17 @@
 /** Chooses the engine of an attempt and the engine that keeps a copy of its memory. */
 final class EngineChoice {
     /**
-     * Reading that an engine may have before it when a new generation is sent there. It covers the
-     * time until other instances learn of it, so that engines do not run dry.
+     * Delay, by what an engine has to read and by the generations that a prompt would slow, at
+     * which a generation that has just arrived is sent there. It covers the time until other
+     * instances learn of it, so that engines do not run dry.
      */
-    private static final long MAX_BACKLOG_NANOS = Duration.ofMillis(400).toNanos();
+    private static final long MAX_DELAY_NANOS = Duration.ofMillis(400).toNanos();
+
+    /**
+     * Delay that each generation bringing output is worth when a prompt is placed. Every step that
+     * reads a part of a prompt takes five times as long for them.
+     */
+    private static final long DECODING_COST_NANOS = Duration.ofMillis(150).toNanos();
 
     /** Part of an engine's memory that is planned for; estimates of the output are often off. */
     private static final double MEMORY_PART = 0.92;
@@ -47,24 +54,29 @@
         mRandom = random;
     }
 
-    /** Returns the engine with the least time to the first output, or null when none has room. */
+    /** Returns the engine that is best to read a prompt, or null when the run should wait. */
     @Nullable EngineState engine(StreamRun run, long nowNanos) {
         EngineState best = null;
         double bestCost = 0;
         EngineState holder = run.isInterrupted() ? mBoard.findByPart(run.part()) : null;
+        long limit = limit(run, nowNanos);
         for (EngineState engine : mBoard.engines()) {
             if (!mBoard.isUsable(engine, nowNanos) || engine.running() >= mSpec.slots()) {
                 continue;
             }
-            long backlog = engine.backlog(mPace.tokensPerNano(), nowNanos);
             double memory = (double) engine.memory() / mSpec.memoryTokens();
-            double fill = memory + (double) run.memory() / mSpec.memoryTokens();
-            if (backlog > MAX_BACKLOG_NANOS && !run.isInterrupted() || fill > MEMORY_PART) {
+            if (memory + (double) run.memory() / mSpec.memoryTokens() > MEMORY_PART) {
+                continue;
+            }
+            double delay =
+                    engine.backlog(mPace.tokensPerNano(), nowNanos)
+                            + (double) engine.decoding() * DECODING_COST_NANOS;
+            if (delay > limit) {
                 continue;
             }
             double toRead = engine == holder ? 0 : run.promptTokens() / mPace.tokensPerNano();
             double cost =
-                    backlog
+                    delay
                             + toRead
                             + memory * MEMORY_COST_NANOS
                             + distanceCost(engine)
@@ -77,22 +89,18 @@
         return best;
     }
 
-    /** Returns an engine of another zone than the given one with the most room, or null. */
+    /**
+     * Returns an engine of another zone than the given one that can go on after a loss, or null.
+     */
     @Nullable EngineState keeper(EngineState engine, StreamRun run, long nowNanos) {
-        if (!mSpec.keepsCopies() || !run.work().kind().isRepeatable()) {
-            return null;
-        }
         EngineState best = null;
         double bestCost = 0;
         for (EngineState other : mBoard.engines()) {
             if (other.upstream().zone().equals(engine.upstream().zone())
-                    || !mBoard.isUsable(other, nowNanos)) {
-                continue;
-            }
-            double fill = (double) (other.memory() + run.memory()) / mSpec.memoryTokens();
-            if (fill > MEMORY_PART) {
+                    || !hasRoom(other, run, nowNanos)) {
                 continue;
             }
+            double fill = (double) other.memory() / mSpec.memoryTokens();
             double cost = fill + KEEPER_TIE * mRandom.nextDouble();
             if (best == null || cost < bestCost) {
                 best = other;
@@ -102,6 +110,21 @@
         return best;
     }
 
+    private boolean hasRoom(EngineState engine, StreamRun run, long nowNanos) {
+        double fill = (double) (engine.memory() + run.memory()) / mSpec.memoryTokens();
+        return fill <= MEMORY_PART
+                && engine.running() < mSpec.slots()
+                && mBoard.isUsable(engine, nowNanos);
+    }
+
+    /** Returns the delay that a run accepts: the longer it has waited, the more. */
+    private static long limit(StreamRun run, long nowNanos) {
+        if (run.isInterrupted()) {
+            return Long.MAX_VALUE;
+        }
+        return MAX_DELAY_NANOS + (nowNanos - run.work().arrivedNanos()) / 2;
+    }
+
     private long distanceCost(EngineState engine) {
         return switch (mLocations.distance(engine.upstream().zone())) {
             case SAME_ZONE -> 0;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EnginePace.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EnginePace.java
@@ -12,10 +12,14 @@
     /** Pause assumed before the first events. */
     private static final double FIRST_PAUSE_NANOS = 200e6;
 
-    /** The estimate rises fast and falls slowly, so that it stays near the longest usual pauses. */
+    /**
+     * The estimate rises fast and hardly falls, so that it stays at the longest usual pauses: those
+     * while an engine reads a prompt. These are rare when little is read, and a threshold that had
+     * come down by then would take every engine that reads for a silent one.
+     */
     private static final double RISE = 0.2;
 
-    private static final double FALL = 0.001;
+    private static final double FALL = 0.00002;
 
     /** Time on top of the longest usual pause, for the network and the instance itself. */
     private static final long SILENCE_MARGIN_NANOS = Duration.ofMillis(80).toNanos();
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineState.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineState.java
@@ -107,6 +107,17 @@
         return running;
     }
 
+    /** Returns the generations that bring output here. */
+    int decoding() {
+        int decoding = 0;
+        for (Load load : all()) {
+            if (!load.copy() && !load.reading()) {
+                decoding++;
+            }
+        }
+        return decoding;
+    }
+
     /** Returns the tokens of memory that generations and copies take up. */
     int memory() {
         int memory = 0;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamRun.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamRun.java
@@ -12,6 +12,7 @@
     private int mRejected;
     private int mRan;
     private boolean mInterrupted;
+    private String mEnded = "";
 
     // State of the running attempt.
     private @Nullable EngineState mEngine;
@@ -62,7 +63,7 @@
         return mRan;
     }
 
-    /** Tells whether a caller has a part of the answer already, or an attempt was lost. */
+    /** Tells whether the caller has a part of the answer already. */
     boolean isInterrupted() {
         return mInterrupted;
     }
@@ -146,12 +147,18 @@
         }
     }
 
-    void ended(AttemptEnd end) {
+    /** How the attempt before ended, for the log; empty for the first one. */
+    String before() {
+        return mEnded;
+    }
+
+    void ended(AttemptEnd end, String why) {
+        mEnded = why;
         if (end == AttemptEnd.REJECTED) {
             mRejected++;
         } else if (!end.isNotRun()) {
             mRan++;
-            mInterrupted = true;
+            mInterrupted |= mHasOutput;
         }
     }
 
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -30,9 +30,6 @@
 
     private static final int LEAST_URGENT = 9;
 
-    /** Time after its start in which an attempt has no copy worth continuing from. */
-    private static final long NO_COPY_NANOS = Duration.ofMillis(350).toNanos();
-
     /** Time beyond the expected one after which a first output is overdue. */
     private static final long OVERDUE_MARGIN_NANOS = Duration.ofMillis(600).toNanos();
 
@@ -119,6 +116,10 @@
 
     @Override
     public void attemptEnded(long work, int attempt, AttemptEnd end, long nowNanos) {
+        ended(work, attempt, end, end.name().toLowerCase(Locale.ROOT), nowNanos);
+    }
+
+    private void ended(long work, int attempt, AttemptEnd end, String why, long nowNanos) {
         StreamRun run = mRuns.get(work);
         if (run == null || run.attempt() != attempt || run.engine() == null) {
             return;
@@ -134,7 +135,7 @@
             }
         }
         EngineState keeper = usefulKeeper(run, end, nowNanos);
-        run.ended(end);
+        run.ended(end, why);
         run.released();
         mShareChanges++;
         if (end == AttemptEnd.SUCCEEDED) {
@@ -176,7 +177,7 @@
                         Duration.ZERO,
                         "the time for the request is over");
             } else if (isSilent(run, nowNanos)) {
-                attemptEnded(run.work().id(), run.attempt(), AttemptEnd.LOST, nowNanos);
+                ended(run.work().id(), run.attempt(), AttemptEnd.LOST, "silence", nowNanos);
             }
         }
         dispatch(nowNanos);
@@ -227,7 +228,7 @@
     private void loseAll(EngineState engine, long nowNanos) {
         for (StreamRun run : List.copyOf(mRuns.values())) {
             if (run.engine() == engine) {
-                attemptEnded(run.work().id(), run.attempt(), AttemptEnd.RESET, nowNanos);
+                ended(run.work().id(), run.attempt(), AttemptEnd.RESET, "restart listed", nowNanos);
             }
         }
     }
@@ -248,8 +249,9 @@
     private @Nullable EngineState usefulKeeper(StreamRun run, AttemptEnd end, long nowNanos) {
         EngineState keeper = run.keeper();
         boolean lost = end == AttemptEnd.RESET || end == AttemptEnd.LOST;
-        boolean filled = run.hasOutput() || nowNanos - run.startedAt() > NO_COPY_NANOS;
-        if (keeper == null || !lost || !filled || !mBoard.isUsable(keeper, nowNanos)) {
+        // The copy of a prompt that is still being read leaves much to read; that would delay the
+        // generations that go on at the keeper in the middle of their output.
+        if (keeper == null || !lost || !run.hasOutput() || !mBoard.isUsable(keeper, nowNanos)) {
             return null;
         }
         return keeper;
@@ -292,12 +294,15 @@
             @Nullable MemoryCopy copy,
             String reason,
             long nowNanos) {
-        EngineState keeper = mChoice.keeper(engine, run, nowNanos);
+        boolean copies = mSpec.keepsCopies() && run.work().kind().isRepeatable();
+        EngineState keeper = copies ? mChoice.keeper(engine, run, nowNanos) : null;
         long backlog = engine.backlog(mPace.tokensPerNano(), nowNanos);
         int toRead = copy == null ? run.promptTokens() : 0;
-        String why = reason + "; " + describe(engine, backlog);
+        String after = run.before().isEmpty() ? "" : "after " + run.before() + ": ";
+        String why = after + reason + "; " + describe(engine, backlog);
         long expected = nowNanos + backlog + Math.round(toRead / mPace.tokensPerNano());
-        run.started(engine, keeper, toRead, backlog == 0 && copy == null, expected, nowNanos);
+        boolean alone = backlog == 0 && copy == null;
+        run.started(engine, keeper, toRead, alone, expected, nowNanos);
         mShareChanges++;
         mDue.add(
                 new Decision.Start(
