Send generations that come back to the engine that keeps their prompt

Cause: a caller that lost its connection comes back at another instance, which read the prompt again although an engine still kept it. Change: instances remember where each prompt was read, by what they tell each other; an engine that is chosen instead fetches the prompt from there; for an unknown one the engines are asked what they keep.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -227,7 +227,8 @@
                         -1,
                         null,
                         null,
-                        "lowest load"));
+                        null,
+                        "least expected time"));
         return true;
     }
 
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/Decision.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/Decision.java
@@ -21,6 +21,7 @@
      * @param urgency rank for the engine's own queue, 0 first; negative for plain calls
      * @param copyKeeper engine that keeps a copy of the generation's memory, or null for none
      * @param copy copy of an earlier attempt's memory to continue from, or null to read all anew
+     * @param fetchFrom engine that keeps the prompt and that the upstream fetches it from, or null
      * @param reason why this upstream, for the log
      */
     record Start(
@@ -30,6 +31,7 @@
             int urgency,
             @Nullable Upstream copyKeeper,
             @Nullable MemoryCopy copy,
+            @Nullable Upstream fetchFrom,
             String reason)
             implements Decision {}
 
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineBoard.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineBoard.java
@@ -27,6 +27,7 @@
     private final Map<String, EngineState> mEngines = new LinkedHashMap<>();
     private final ZoneLosses mZones = new ZoneLosses();
     private final ZoneLosses mSilentZones = new ZoneLosses();
+    private final PartMemory mParts = new PartMemory();
     private final Map<String, Seen> mPeers = new HashMap<>();
     private final List<Failure> mFailures = new ArrayList<>();
 
@@ -98,16 +99,16 @@
         }
     }
 
-    /** Finds where another instance runs a generation with a given last part of the prompt. */
-    @Nullable EngineState findByPart(long part) {
-        for (Seen seen : mPeers.values()) {
-            for (RunShare run : seen.share().runs()) {
-                if (run.part() == part) {
-                    return mEngines.get(run.engine());
-                }
-            }
-        }
-        return null;
+    /** Records that an engine has read a prompt. */
+    void kept(long part, String engine) {
+        mParts.kept(part, engine);
+    }
+
+    /** Finds the engine that keeps a prompt, as long as its run is not known to be over. */
+    @Nullable EngineState holder(long part) {
+        String id = mParts.engine(part);
+        EngineState engine = id == null ? null : mEngines.get(id);
+        return engine == null || engine.isOver() ? null : engine;
     }
 
     /** Returns the prompt tokens that wait in other instances. */
@@ -219,6 +220,9 @@
     private void apply(String instance, LoadShare share, long receivedNanos) {
         Map<String, List<EngineState.Load>> loads = new HashMap<>();
         for (RunShare run : share.runs()) {
+            if (!run.reading()) {
+                mParts.kept(run.part(), run.engine());
+            }
             long started = receivedNanos - run.ageMillis() * EngineState.NANOS_PER_MILLI;
             loads.computeIfAbsent(run.engine(), id -> new ArrayList<>())
                     .add(
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineChoice.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineChoice.java
@@ -32,6 +32,9 @@
     /** Backlog that a full memory is worth, so that load spreads. */
     private static final long MEMORY_COST_NANOS = Duration.ofMillis(300).toNanos();
 
+    /** Time in which an engine fetches a prompt that another one keeps. */
+    private static final double FETCH_NANOS = Duration.ofMillis(250).toNanos();
+
     /** Fill of a keeper's memory that a tie is worth. */
     private static final double KEEPER_TIE = 0.01;
 
@@ -58,7 +61,7 @@
     @Nullable EngineState engine(StreamRun run, long nowNanos) {
         EngineState best = null;
         double bestCost = 0;
-        EngineState holder = run.isInterrupted() ? mBoard.findByPart(run.part()) : null;
+        EngineState holder = mBoard.holder(run.part());
         long limit = limit(run, nowNanos);
         for (EngineState engine : mBoard.engines()) {
             if (!mBoard.isUsable(engine, nowNanos) || engine.running() >= mSpec.slots()) {
@@ -74,7 +77,7 @@
             if (delay > limit) {
                 continue;
             }
-            double toRead = engine == holder ? 0 : run.promptTokens() / mPace.tokensPerNano();
+            double toRead = toReadNanos(engine, holder, run);
             double cost =
                     delay
                             + toRead
@@ -110,6 +113,14 @@
         return best;
     }
 
+    private double toReadNanos(EngineState engine, @Nullable EngineState holder, StreamRun run) {
+        if (engine == holder) {
+            return 0;
+        }
+        double reading = run.promptTokens() / mPace.tokensPerNano();
+        return holder == null ? reading : Math.min(reading, FETCH_NANOS);
+    }
+
     private boolean hasRoom(EngineState engine, StreamRun run, long nowNanos) {
         double fill = (double) (engine.memory() + run.memory()) / mSpec.memoryTokens();
         return fill <= MEMORY_PART
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamRun.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamRun.java
@@ -13,6 +13,8 @@
     private int mRan;
     private boolean mInterrupted;
     private String mEnded = "";
+    private long mAskingUntil;
+    private boolean mAsking;
 
     // State of the running attempt.
     private @Nullable EngineState mEngine;
@@ -147,6 +149,20 @@
         }
     }
 
+    /** Makes the generation wait for what engines say they keep. */
+    void asks(long untilNanos) {
+        mAsking = true;
+        mAskingUntil = untilNanos;
+    }
+
+    boolean isAsking(long nowNanos) {
+        return mAsking && nowNanos - mAskingUntil < 0;
+    }
+
+    void asked() {
+        mAsking = false;
+    }
+
     /** How the attempt before ended, for the log; empty for the first one. */
     String before() {
         return mEnded;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -22,7 +22,7 @@
  * availability zone keeps a copy of the memory, from which the generation goes on when its engine
  * is lost.
  */
-public final class StreamScheduler implements WorkScheduler, LoadSharing {
+public final class StreamScheduler implements WorkScheduler, LoadSharing, CacheAware {
     private static final Duration NO_ENGINE_RETRY = Duration.ofMillis(500);
 
     /** Engines that may turn a generation away before it is given up. */
@@ -39,6 +39,15 @@
 
     private static final double OVERDUE_FACTOR = 2.5;
 
+    /**
+     * Least time between two rounds in which engines are asked what they keep. Each answer delays
+     * an engine's work, and what other instances tell mostly says it already.
+     */
+    private static final long INQUIRY_NANOS = Duration.ofSeconds(5).toNanos();
+
+    /** Longest wait of a generation for the answers. */
+    private static final long ANSWER_NANOS = Duration.ofMillis(200).toNanos();
+
     /** Order of waiting: interrupted streams first, then by rank, then by arrival. */
     private static final Comparator<StreamRun> ORDER =
             Comparator.<StreamRun>comparingInt(run -> run.isInterrupted() ? 0 : 1)
@@ -55,6 +64,10 @@
     private final List<StreamRun> mWaiting = new ArrayList<>();
     private List<Decision> mDue = new ArrayList<>();
     private long mShareChanges;
+    private List<Upstream> mInquiries = new ArrayList<>();
+    private int mOpenInquiries;
+    private boolean mInquired;
+    private long mInquiredAt;
 
     /**
      * Creates a scheduler without engines.
@@ -91,9 +104,48 @@
         StreamRun run = new StreamRun(work);
         mRuns.put(work.id(), run);
         mWaiting.add(run);
+        if (work.eventsSeen() > 0 && mBoard.holder(run.part()) == null) {
+            inquire(run, nowNanos);
+        }
+        dispatch(nowNanos);
+    }
+
+    @Override
+    public List<Upstream> takeInquiries() {
+        List<Upstream> inquiries = mInquiries;
+        mInquiries = new ArrayList<>();
+        return inquiries;
+    }
+
+    @Override
+    public void kept(Upstream engine, List<Long> parts, long nowNanos) {
+        parts.forEach(part -> mBoard.kept(part, engine.id()));
+        mOpenInquiries--;
+        for (StreamRun run : mWaiting) {
+            if (mOpenInquiries == 0 || mBoard.holder(run.part()) != null) {
+                run.asked();
+            }
+        }
         dispatch(nowNanos);
     }
 
+    /** Asks the engines which of them keeps the prompt of a generation that comes back. */
+    private void inquire(StreamRun run, long nowNanos) {
+        if (!mInquired || nowNanos - mInquiredAt > INQUIRY_NANOS) {
+            mInquired = true;
+            mInquiredAt = nowNanos;
+            for (EngineState engine : mBoard.engines()) {
+                if (mBoard.isUsable(engine, nowNanos)) {
+                    mInquiries.add(engine.upstream());
+                    mOpenInquiries++;
+                }
+            }
+        }
+        if (mOpenInquiries > 0) {
+            run.asks(nowNanos + ANSWER_NANOS);
+        }
+    }
+
     @Override
     public void progress(long work, int attempt, Progress progress) {
         StreamRun run = mRuns.get(work);
@@ -108,6 +160,7 @@
             if (run.isAlone()) {
                 mPace.read(run.toRead(), progress.lastNanos() - run.startedAt());
             }
+            mBoard.kept(run.part(), engine.upstream().id());
             mShareChanges++;
             dispatch(progress.lastNanos());
         }
@@ -285,6 +338,9 @@
         }
         mWaiting.sort(ORDER);
         for (StreamRun run : List.copyOf(mWaiting)) {
+            if (run.isAsking(nowNanos)) {
+                continue;
+            }
             EngineState engine = mChoice.engine(run, nowNanos);
             if (engine != null) {
                 mWaiting.remove(run);
@@ -305,11 +361,12 @@
         boolean copies = mSpec.keepsCopies() && run.work().kind().isRepeatable();
         EngineState keeper = copies ? mChoice.keeper(engine, run, nowNanos) : null;
         long backlog = engine.backlog(mPace.tokensPerNano(), nowNanos);
-        int toRead = copy == null ? run.promptTokens() : 0;
+        EngineState holder = copy == null ? mBoard.holder(run.part()) : null;
+        int toRead = copy == null && holder == null ? run.promptTokens() : 0;
         String after = run.before().isEmpty() ? "" : "after " + run.before() + ": ";
         String why = after + reason + "; " + describe(engine, backlog);
         long expected = nowNanos + backlog + Math.round(toRead / mPace.tokensPerNano());
-        boolean alone = backlog == 0 && copy == null;
+        boolean alone = backlog == 0 && toRead > 0;
         run.started(engine, keeper, toRead, alone, expected, nowNanos);
         mShareChanges++;
         mDue.add(
@@ -320,6 +377,7 @@
                         copy == null ? Math.min(LEAST_URGENT, 1 + run.work().priority()) : 0,
                         keeper == null ? null : keeper.upstream(),
                         copy,
+                        holder == null || holder == engine ? null : holder.upstream(),
                         why));
     }
 
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import org.gentianwalk.core.route.RouteTable;
 import org.gentianwalk.core.time.Ticker;
 import org.gentianwalk.gateway.control.ControlPlane;
+import org.gentianwalk.gateway.control.KeptParts;
 import org.gentianwalk.gateway.http.EdgeOptions;
 import org.gentianwalk.gateway.http.EdgeServer;
 import org.gentianwalk.gateway.http.StatusServer;
@@ -73,7 +74,8 @@
                 Executors.newSingleThreadScheduledExecutor(
                         task -> Thread.ofPlatform().name("control").unstarted(task));
         mClient = new UpstreamClient(mTraffic, dialect, ticker);
-        mPlane = new ControlPlane(settings, mControl, mTraffic, ticker, rows);
+        KeptParts kept = new KeptParts(mClient, dialect, mTraffic.next());
+        mPlane = new ControlPlane(settings, mControl, mTraffic, ticker, rows, kept);
         Exchange.Collaborators with = new Exchange.Collaborators(mClient, dialect, mPlane, ticker);
         TrafficHandler handler = new TrafficHandler(mPlane::table, with, () -> mStopping);
         mEdge =
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.gentianwalk.core.dispatch.AttemptEnd;
+import org.gentianwalk.core.dispatch.CacheAware;
 import org.gentianwalk.core.dispatch.CallScheduler;
 import org.gentianwalk.core.dispatch.Decision;
 import org.gentianwalk.core.dispatch.Decision.Ending;
@@ -71,6 +72,7 @@
     private final Executor mTraffic;
     private final Ticker mTicker;
     private final SharedRows mRows;
+    private final KeptParts mKept;
     private final UpstreamDirectory mDirectory = new UpstreamDirectory();
     private final Map<String, WorkScheduler> mSchedulers = new HashMap<>();
     private final Map<Long, Request> mRequests = new HashMap<>();
@@ -88,13 +90,16 @@
      * @param traffic the traffic loop
      * @param ticker clock
      * @param rows reads the rows of the shared store
+     * @param kept asks engines what they keep
      */
     public ControlPlane(
             GatewaySettings settings,
             ScheduledExecutorService control,
             Executor traffic,
             Ticker ticker,
-            SharedRows rows) {
+            SharedRows rows,
+            KeptParts kept) {
+        mKept = kept;
         mSettings = settings;
         mControl = control;
         mTraffic = traffic;
@@ -316,9 +321,24 @@
                 }
             }
         }
+        if (scheduler instanceof CacheAware aware) {
+            aware.takeInquiries().forEach(engine -> inquire(scheduler, aware, engine));
+        }
         exchange();
     }
 
+    private void inquire(WorkScheduler scheduler, CacheAware aware, Upstream engine) {
+        mKept.ask(
+                engine.address(),
+                parts ->
+                        mControl.execute(
+                                () -> {
+                                    mLog.kept(engine, parts.size());
+                                    aware.kept(engine, parts, mTicker.nanos());
+                                    carryOut(scheduler);
+                                }));
+    }
+
     private void applyDirectory() {
         if (!mDirectory.takeChanged()) {
             return;
--- /dev/null
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/KeptParts.java
@@ -0,0 +1,115 @@
+package org.gentianwalk.gateway.control;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.gentianwalk.gateway.http.UpstreamCall;
+import org.gentianwalk.gateway.http.UpstreamListener;
+import org.gentianwalk.gateway.http.UpstreamRequest;
+import org.gentianwalk.gateway.http.UpstreamSender;
+import org.gentianwalk.gateway.wire.AnswerHead;
+import org.gentianwalk.gateway.wire.WireDialect;
+
+/** Asks engines which parts of prompts they keep. */
+public final class KeptParts {
+    /** Longest wait for an answer; what comes later is of no use to the request that waits. */
+    private static final Duration TIMEOUT = Duration.ofMillis(200);
+
+    private final UpstreamSender mSender;
+    private final WireDialect mDialect;
+    private final ScheduledExecutorService mTraffic;
+
+    /**
+     * Creates a part that has asked nobody.
+     *
+     * @param sender sends the calls
+     * @param dialect knows path and form of the list
+     * @param traffic the traffic loop
+     */
+    public KeptParts(UpstreamSender sender, WireDialect dialect, ScheduledExecutorService traffic) {
+        mSender = sender;
+        mDialect = dialect;
+        mTraffic = traffic;
+    }
+
+    /**
+     * Asks an engine.
+     *
+     * @param address its address
+     * @param answer gets the parts, on the traffic loop; none when the engine does not answer
+     */
+    void ask(String address, Consumer<List<Long>> answer) {
+        mTraffic.execute(
+                () -> {
+                    Pending pending = new Pending(answer);
+                    UpstreamRequest request =
+                            new UpstreamRequest(
+                                    HttpMethod.GET,
+                                    mDialect.keptPartsPath(),
+                                    () -> headers(address),
+                                    new byte[0],
+                                    "",
+                                    false);
+                    UpstreamCall call = mSender.send(address, request, pending);
+                    mTraffic.schedule(
+                            () -> pending.expire(call), TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+                });
+    }
+
+    private static HttpHeaders headers(String address) {
+        return new DefaultHttpHeaders().set(HttpHeaderNames.HOST, address);
+    }
+
+    /** The answer of one engine. */
+    private final class Pending implements UpstreamListener {
+        private final Consumer<List<Long>> mAnswer;
+        private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+        private boolean mSuccess;
+        private boolean mDone;
+
+        Pending(Consumer<List<Long>> answer) {
+            mAnswer = answer;
+        }
+
+        void expire(UpstreamCall call) {
+            if (!mDone) {
+                call.cancel();
+                done(List.of());
+            }
+        }
+
+        @Override
+        public void head(AnswerHead head, HttpHeaders headers) {
+            mSuccess = head.isSuccess();
+        }
+
+        @Override
+        public void body(byte[] part) {
+            mBody.writeBytes(part);
+        }
+
+        @Override
+        public void complete() {
+            done(mSuccess ? mDialect.keptParts(mBody.toByteArray()) : List.of());
+        }
+
+        @Override
+        public void failed(Failure failure, String cause) {
+            done(List.of());
+        }
+
+        private void done(List<Long> parts) {
+            if (!mDone) {
+                mDone = true;
+                mAnswer.accept(parts);
+            }
+        }
+    }
+}
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
@@ -32,6 +32,7 @@
         Fields fields =
                 request(start.work(), nowNanos)
                         .with("attempt", start.attempt())
+                        .with("from_event", start.work().eventsSeen())
                         .with("upstream", start.upstream().id())
                         .with("zone", start.upstream().zone())
                         .with("config", version)
@@ -42,6 +43,9 @@
         if (start.copy() != null) {
             fields.with("continues_from", start.copy().address());
         }
+        if (start.fetchFrom() != null) {
+            fields.with("fetches_from", start.fetchFrom().id());
+        }
         LOG.infov("placed", fields);
     }
 
@@ -124,6 +128,18 @@
                         .with("source", source));
     }
 
+    /**
+     * Logs what an engine said it keeps.
+     *
+     * @param engine the engine
+     * @param parts number of parts of prompts; 0 as well when it did not answer
+     */
+    public void kept(Upstream engine, int parts) {
+        LOG.infov(
+                "engine asked for kept prompts",
+                new Fields().with("upstream", engine.id()).with("parts", parts));
+    }
+
     /**
      * Logs a new or changed entry of the list of upstreams.
      *
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -6,6 +6,7 @@
 import org.gentianwalk.core.dispatch.AttemptEnd;
 import org.gentianwalk.core.dispatch.Decision;
 import org.gentianwalk.core.dispatch.Progress;
+import org.gentianwalk.core.dispatch.Upstream;
 import org.gentianwalk.core.dispatch.UpstreamLoad;
 import org.gentianwalk.core.dispatch.Work;
 import org.gentianwalk.core.time.Ticker;
@@ -261,13 +262,16 @@
                                     team.isEmpty() ? null : team,
                                     start.urgency(),
                                     mLastEvent,
-                                    start.copyKeeper() == null
-                                            ? null
-                                            : start.copyKeeper().address(),
-                                    start.copy()));
+                                    address(start.copyKeeper()),
+                                    start.copy(),
+                                    address(start.fetchFrom())));
             return headers;
         }
 
+        private static @Nullable String address(@Nullable Upstream upstream) {
+            return upstream == null ? null : upstream.address();
+        }
+
         @Override
         public void head(AnswerHead head, HttpHeaders headers) {
             mHead = head;
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/wire/UpstreamHead.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/wire/UpstreamHead.java
@@ -14,6 +14,7 @@
  * @param lastEvent number of the last event that exists, or 0 for the whole answer
  * @param copyKeeper address of the engine that keeps a copy of the memory, or null
  * @param copy copy of the memory to continue from, or null
+ * @param fetchFrom address of an engine that keeps the prompt, or null
  */
 public record UpstreamHead(
         Duration timeLeft,
@@ -22,4 +23,5 @@
         int urgency,
         long lastEvent,
         @Nullable String copyKeeper,
-        @Nullable MemoryCopy copy) {}
+        @Nullable MemoryCopy copy,
+        @Nullable String fetchFrom) {}
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/wire/WireDialect.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/wire/WireDialect.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
 
 /**
  * Reads and writes the headers by which callers, this instance and upstreams understand each other.
@@ -42,6 +43,21 @@
      */
     void toCaller(HttpHeaders headers);
 
+    /**
+     * Returns the path at which an engine lists the parts of prompts that it keeps.
+     *
+     * @return the path
+     */
+    String keptPartsPath();
+
+    /**
+     * Reads an engine's list of the parts of prompts that it keeps.
+     *
+     * @param body body of its answer
+     * @return identifiers of the parts; empty when the body can't be read
+     */
+    List<Long> keptParts(byte[] body);
+
     /**
      * Returns the path of the readiness check.
      *
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/PlainDialect.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/PlainDialect.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
+import java.util.List;
 import org.gentianwalk.gateway.wire.AnswerHead;
 import org.gentianwalk.gateway.wire.CallerHead;
 import org.gentianwalk.gateway.wire.MalformedHeadException;
@@ -58,6 +59,16 @@
         headers.remove("x-not-run");
     }
 
+    @Override
+    public String keptPartsPath() {
+        return "/kept";
+    }
+
+    @Override
+    public List<Long> keptParts(byte[] body) {
+        return List.of();
+    }
+
     @Override
     public String readyPath() {
         return "/ready";
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -280,7 +280,7 @@
     }
 
     private static void start(Exchange exchange, int attempt, Upstream upstream) {
-        exchange.start(new Decision.Start(null, attempt, upstream, 0, null, null, "test"));
+        exchange.start(new Decision.Start(null, attempt, upstream, 0, null, null, null, "test"));
     }
 
     private static Decision.Finish finish(Ending ending) {
