--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/GatewayProcess.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/GatewayProcess.java
@@ -1,5 +1,7 @@
 package org.gentianwalk.gateway;
 
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Executors;
@@ -50,6 +52,8 @@
             System.exit(EXIT_SETTINGS);
             return;
         }
+        // Netty would look for another logging library first.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         Logging logging = Logging.start(settings.name(), settings.logLevel(), System.out);
         Gateway gateway = mFactory.apply(settings);
         try {
