Let two instances of each region read the store for the others; look at output once a tick

Change: TableExchange. Two readers in each region pass on what changed and say twice a second that nothing has; followers ask the store within 1.2 s of silence, at a gap, and for rows of over 4 KB. Rows carry the store's version (TableMirror), so copies may come in any order. An instance that can't reach the store takes the table of another one. Settings that were accepted without an effect are gone.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -53,13 +53,13 @@
     private static final Logger LOG = Logger.getLogger(ControlPlane.class);
 
     /** Time between two looks at what is due. */
-    private static final Duration TICK = Duration.ofMillis(25);
+    private static final Duration TICK = Duration.ofMillis(40);
 
     /**
      * Longest wait for a change. A connection to the store that falls silent is noticed after it,
      * which has to be within the time for a configuration to be in force.
      */
-    private static final Duration WATCH_WAIT = Duration.ofSeconds(4);
+    private static final Duration WATCH_WAIT = Duration.ofSeconds(2);
 
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(1_500);
 
@@ -82,6 +82,7 @@
     private final Map<Long, Request> mRequests = new HashMap<>();
     private final Set<WorkScheduler> mConfirming =
             Collections.newSetFromMap(new IdentityHashMap<>());
+    private final ProgressBuffer mProgress = new ProgressBuffer();
     private final List<RetryAllowance> mRetries = new ArrayList<>();
     private final GatewayLog mLog = new GatewayLog();
     private final List<TableWatcher> mWatchers = new ArrayList<>();
@@ -120,16 +121,11 @@
      * @throws IOException if the address of the mesh can't be bound
      */
     public void start(RowStore store) throws IOException {
-        TableWatcher.WatchTimes config =
-                new TableWatcher.WatchTimes(WATCH_WAIT, STORE_TIMEOUT, CONFIG_PAUSE);
-        TableWatcher.WatchTimes upstreams =
-                new TableWatcher.WatchTimes(WATCH_WAIT, STORE_TIMEOUT, UPSTREAM_PAUSE);
-        mWatchers.add(
-                new TableWatcher(store, mRows.configTable(), new ConfigRows(), mControl, config));
-        mWatchers.add(
-                new TableWatcher(
-                        store, mRows.upstreamTable(), new UpstreamRows(), mControl, upstreams));
         FleetLink fleet = new FleetLink(mSettings, this, store, mControl, mTicker, mLog);
+        mWatchers.add(watcher(store, fleet, mRows.configTable(), new ConfigRows(), CONFIG_PAUSE));
+        mWatchers.add(
+                watcher(store, fleet, mRows.upstreamTable(), new UpstreamRows(), UPSTREAM_PAUSE));
+        fleet.watchers(mWatchers);
         fleet.start(mSettings.mesh().address());
         mFleet = fleet;
         mControl.execute(() -> mWatchers.forEach(TableWatcher::start));
@@ -137,6 +133,18 @@
                 this::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
     }
 
+    private TableWatcher watcher(
+            RowStore store, FleetLink fleet, String table, TableListener listener, Duration pause) {
+        return new TableWatcher(
+                store,
+                table,
+                listener,
+                fleet.tables(),
+                mControl,
+                mTicker,
+                new TableWatcher.WatchTimes(WATCH_WAIT, STORE_TIMEOUT, pause));
+    }
+
     /**
      * Returns the configuration in force.
      *
@@ -172,13 +180,27 @@
     }
 
     @Override
-    public void progress(long work, int attempt, Progress progress) {
-        mControl.execute(
-                () -> {
+    public void progress(long work, int attempt, Progress progress, boolean first) {
+        mProgress.add(work, attempt, progress);
+        if (first) {
+            // The first output frees an engine for the next prompt.
+            mControl.execute(
+                    () -> {
+                        takeProgress();
+                        Request request = mRequests.get(work);
+                        if (request != null) {
+                            carryOut(request.scheduler());
+                        }
+                    });
+        }
+    }
+
+    private void takeProgress() {
+        mProgress.drain(
+                (work, attempt, progress) -> {
                     Request request = mRequests.get(work);
                     if (request != null) {
                         request.scheduler().progress(work, attempt, progress);
-                        carryOut(request.scheduler());
                     }
                 });
     }
@@ -209,6 +231,7 @@
                     if (request == null) {
                         return;
                     }
+                    mProgress.remove(work);
                     mLog.delivered(request.work(), attempt, delivery, mTicker.nanos());
                     if (load != null) {
                         request.scheduler().loadStated(work, load, mTicker.nanos());
@@ -248,6 +271,7 @@
 
     private void tick() {
         try {
+            takeProgress();
             mDirectory.advance(mTicker.nanos());
             applyDirectory();
             for (WorkScheduler scheduler : mSchedulers.values()) {
@@ -345,6 +369,7 @@
                             mControl.execute(
                                     () -> {
                                         mConfirming.remove(scheduler);
+                                        takeProgress();
                                         aware.inputTaken(asked);
                                         carryOut(scheduler);
                                     }));
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/FleetLink.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/FleetLink.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.gentianwalk.core.membership.Member;
@@ -21,6 +22,8 @@
 import org.gentianwalk.gateway.store.RowStore;
 import org.gentianwalk.gateway.store.RowStore.Result;
 import org.gentianwalk.gateway.store.RowStore.Row;
+import org.gentianwalk.gateway.store.TableFeed;
+import org.gentianwalk.gateway.store.TableWatcher;
 import org.gentianwalk.proto.MemberState;
 import org.gentianwalk.proto.MemberUpdate;
 import org.gentianwalk.server.mesh.MembershipDriver;
@@ -48,6 +51,7 @@
     private final MeshNode mMesh;
     private final MembershipDriver mDriver;
     private final LoadExchange mLoads;
+    private final TableExchange mTables;
     private volatile int mInstances = 1;
 
     /**
@@ -91,6 +95,7 @@
         Membership membership = new Membership(mSelf, MembershipOptions.DEFAULT, incarnation);
         mDriver = new MembershipDriver(membership, mMesh, control, ticker);
         mLoads = new LoadExchange(mMesh, mSelf, listener, control, ticker);
+        mTables = new TableExchange(mMesh, mSelf, control, ticker, new Random(incarnation));
     }
 
     /**
@@ -113,6 +118,25 @@
     /** Sends what is due. To be called on the control thread, at least every 50 ms. */
     public void advance() {
         mLoads.advance();
+        mTables.advance();
+    }
+
+    /**
+     * Returns the way to tell other instances what this one reads from the store.
+     *
+     * @return the feed
+     */
+    public TableFeed tables() {
+        return mTables;
+    }
+
+    /**
+     * Sets what learns from other instances' reads.
+     *
+     * @param watchers one for each table
+     */
+    public void watchers(List<TableWatcher> watchers) {
+        mTables.watchers(watchers);
     }
 
     /**
@@ -139,6 +163,7 @@
     private void members(MemberView view) {
         mInstances = view.members().size();
         mLoads.members(view);
+        mTables.members(view);
     }
 
     private void announce() {
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/settings/SettingsReader.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/settings/SettingsReader.java
@@ -37,15 +37,11 @@
                     "metrics",
                     "mesh",
                     "mesh_keys",
-                    "mesh_seeds",
                     "store",
-                    "heartbeat_ms",
                     "retry_ratio",
                     "retry_slack",
                     "retry_window_s",
-                    "drain_ms",
                     "stop_grace_s",
-                    "memory_mb",
                     "log_level");
 
     private static final List<String> LOG_LEVELS = List.of("error", "warn", "info", "debug");
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/RowStore.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/RowStore.java
@@ -69,6 +69,7 @@
      * @param key its key
      * @param value its value; empty for a removed row
      * @param removed true when a change removed it
+     * @param version version of the store at which it was written or removed
      */
-    record Row(String key, byte[] value, boolean removed) {}
+    record Row(String key, byte[] value, boolean removed, long version) {}
 }
--- /dev/null
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableMirror.java
@@ -0,0 +1,88 @@
+package org.gentianwalk.gateway.store;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.gentianwalk.gateway.store.RowStore.Row;
+
+/**
+ * The rows of a table as far as they are known, from the store and from other instances. Rows carry
+ * the version at which they were written, so the order in which they arrive doesn't matter.
+ */
+final class TableMirror {
+    /** Removed rows that are remembered, so that an older copy does not bring them back. */
+    private static final int MAX_REMOVED = 4_096;
+
+    private final Map<String, Row> mRows = new TreeMap<>();
+    private final Map<String, Long> mRemoved = new HashMap<>();
+    private long mVersion = -1;
+
+    /** Version up to which every change is known, or -1 before the first whole read. */
+    long version() {
+        return mVersion;
+    }
+
+    List<Row> rows() {
+        return List.copyOf(mRows.values());
+    }
+
+    /**
+     * Takes in the whole table as of a version.
+     *
+     * @return what has changed, removed rows included
+     */
+    List<Row> replace(List<Row> rows, long version) {
+        List<Row> changes = new ArrayList<>();
+        Set<String> present = new HashSet<>();
+        for (Row row : rows) {
+            present.add(row.key());
+            add(row, changes);
+        }
+        for (Row known : List.copyOf(mRows.values())) {
+            if (!present.contains(known.key()) && known.version() <= version) {
+                add(new Row(known.key(), new byte[0], true, version), changes);
+            }
+        }
+        mVersion = Math.max(mVersion, version);
+        return changes;
+    }
+
+    /**
+     * Takes in changes that are complete up to a version.
+     *
+     * @return those that were not known
+     */
+    List<Row> change(List<Row> rows, long version) {
+        List<Row> changes = new ArrayList<>();
+        for (Row row : rows) {
+            add(row, changes);
+        }
+        mVersion = Math.max(mVersion, version);
+        return changes;
+    }
+
+    private void add(Row row, List<Row> changes) {
+        Row known = mRows.get(row.key());
+        long removed = mRemoved.getOrDefault(row.key(), -1L);
+        if (known != null && known.version() >= row.version() || removed >= row.version()) {
+            return;
+        }
+        if (row.removed()) {
+            if (mRemoved.size() >= MAX_REMOVED) {
+                mRemoved.clear();
+            }
+            mRemoved.put(row.key(), row.version());
+            if (mRows.remove(row.key()) != null) {
+                changes.add(row);
+            }
+        } else {
+            mRemoved.remove(row.key());
+            mRows.put(row.key(), row);
+            changes.add(row);
+        }
+    }
+}
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
@@ -4,27 +4,45 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.gentianwalk.core.time.Ticker;
 import org.gentianwalk.gateway.store.RowStore.Result;
 import org.gentianwalk.gateway.store.RowStore.Row;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Follows one table of the shared store. Confined to the control thread.
  *
  * <p>The whole table is read first, then its changes; after the store has dropped the history, or
- * has failed, the whole table is read again.
+ * has failed, the whole table is read again. An instance that others keep up to date does not ask
+ * the store, and one that can't reach the store takes the table from another instance.
  */
 public final class TableWatcher {
     private static final Duration FIRST_BACKOFF = Duration.ofMillis(150);
     private static final Duration LONGEST_BACKOFF = Duration.ofMillis(600);
 
+    /**
+     * Time after the last word of an instance that reads the store after which the store is asked
+     * again. Such instances speak twice a second.
+     */
+    private static final long FED_NANOS = Duration.ofMillis(1_200).toNanos();
+
+    /** Time between two looks at whether others still keep this instance up to date. */
+    private static final Duration FED_CHECK = Duration.ofMillis(300);
+
     private final RowStore mStore;
     private final String mTable;
     private final TableListener mListener;
+    private final TableFeed mFeed;
     private final ScheduledExecutorService mControl;
+    private final Ticker mTicker;
     private final WatchTimes mTimes;
+    private final TableMirror mMirror = new TableMirror();
     private final List<Row> mRead = new ArrayList<>();
     private Duration mBackoff = FIRST_BACKOFF;
+    private @Nullable Long mFedAt;
+    private @Nullable ScheduledFuture<?> mPause;
     private boolean mLost;
     private boolean mStopped;
 
@@ -34,19 +52,25 @@
      * @param store the store
      * @param table the table
      * @param listener learns the content
+     * @param feed other instances
      * @param control the control thread
+     * @param ticker clock
      * @param times pace of the calls
      */
     public TableWatcher(
             RowStore store,
             String table,
             TableListener listener,
+            TableFeed feed,
             ScheduledExecutorService control,
+            Ticker ticker,
             WatchTimes times) {
         mStore = store;
         mTable = table;
         mListener = listener;
+        mFeed = feed;
         mControl = control;
+        mTicker = ticker;
         mTimes = times;
     }
 
@@ -70,6 +94,53 @@
         mStopped = true;
     }
 
+    /**
+     * Returns the table.
+     *
+     * @return its name
+     */
+    public String table() {
+        return mTable;
+    }
+
+    /**
+     * Returns what is known of the table, for another instance.
+     *
+     * @return all rows, or null before the first whole read
+     */
+    public @Nullable TableChanges whole() {
+        long version = mMirror.version();
+        return version < 0 ? null : new TableChanges(mTable, 0, version, mMirror.rows(), !mLost);
+    }
+
+    /**
+     * Takes in what another instance has read.
+     *
+     * @param changes the changes
+     */
+    public void fed(TableChanges changes) {
+        if (!changes.available() || changes.from() > mMirror.version() || mMirror.version() < 0) {
+            // The store itself has to be asked for what is missing.
+            mFedAt = null;
+            ScheduledFuture<?> pause = mPause;
+            if (pause != null && pause.cancel(false)) {
+                next();
+            }
+            return;
+        }
+        mFedAt = mTicker.nanos();
+        List<Row> news = mMirror.change(changes.rows(), changes.to());
+        if (mLost || !news.isEmpty()) {
+            recovered();
+            mListener.changed(news);
+        }
+    }
+
+    private boolean isFed() {
+        Long at = mFedAt;
+        return at != null && !mFeed.isReader() && mTicker.nanos() - at < FED_NANOS;
+    }
+
     private void readAll() {
         if (mStopped) {
             return;
@@ -94,41 +165,50 @@
                     readFrom(rows.rows().getLast().key() + "\0");
                     return;
                 }
-                recovered();
-                mListener.replaced(List.copyOf(mRead));
+                List<Row> news = mMirror.replace(mRead, rows.version());
                 mRead.clear();
-                follow(rows.version());
+                recovered();
+                mListener.replaced(mMirror.rows());
+                mFeed.read(mTable, mMirror.version(), news);
+                next();
             }
             case Result.HistoryLost lost -> failed("history lost");
             case Result.Failed failed -> failed(failed.reason());
         }
     }
 
-    private void follow(long version) {
-        mStore.changes(mTable, version, mTimes.longPoll(), mTimes.timeout())
-                .thenAcceptAsync(result -> followed(version, result), mControl);
+    /** Asks for changes, unless other instances tell of them. */
+    private void next() {
+        if (mStopped) {
+            return;
+        }
+        mPause = null;
+        if (isFed()) {
+            mPause = mControl.schedule(this::next, FED_CHECK.toMillis(), TimeUnit.MILLISECONDS);
+            return;
+        }
+        mStore.changes(mTable, mMirror.version(), mTimes.longPoll(), mTimes.timeout())
+                .thenAcceptAsync(this::followed, mControl);
     }
 
-    private void followed(long before, Result result) {
+    private void followed(Result result) {
         if (mStopped) {
             return;
         }
         switch (result) {
             case Result.Rows rows -> {
+                List<Row> news = mMirror.change(rows.rows(), rows.version());
                 recovered();
-                mListener.changed(rows.rows());
-                long version = Math.max(before, rows.version());
-                later(rows.rows().isEmpty() ? Duration.ZERO : mTimes.pause(), version);
+                mListener.changed(news);
+                mFeed.read(mTable, mMirror.version(), rows.rows());
+                Duration pause = rows.rows().isEmpty() ? Duration.ZERO : mTimes.pause();
+                mControl.schedule(this::next, pause.toMillis(), TimeUnit.MILLISECONDS);
             }
             case Result.HistoryLost lost -> readAll();
             case Result.Failed failed -> failed(failed.reason());
         }
     }
 
-    private void later(Duration pause, long version) {
-        mControl.schedule(() -> follow(version), pause.toMillis(), TimeUnit.MILLISECONDS);
-    }
-
     private void recovered() {
         mLost = false;
         mBackoff = FIRST_BACKOFF;
@@ -138,9 +218,28 @@
         if (!mLost) {
             mLost = true;
             mListener.lost(reason);
+            mFeed.lost(mTable);
         }
-        mControl.schedule(this::readAll, mBackoff.toMillis(), TimeUnit.MILLISECONDS);
+        mFeed.pull(mTable).thenAcceptAsync(this::pulled, mControl);
+        mControl.schedule(this::retry, mBackoff.toMillis(), TimeUnit.MILLISECONDS);
         Duration doubled = mBackoff.multipliedBy(2);
         mBackoff = doubled.compareTo(LONGEST_BACKOFF) > 0 ? LONGEST_BACKOFF : doubled;
     }
+
+    private void retry() {
+        if (isFed()) {
+            next();
+        } else {
+            readAll();
+        }
+    }
+
+    /** Takes the table of another instance while the store can't be reached. */
+    private void pulled(Result result) {
+        if (mLost && result instanceof Result.Rows rows && rows.version() > mMirror.version()) {
+            mMirror.replace(rows.rows(), rows.version());
+            mListener.replaced(mMirror.rows());
+            mListener.lost("taken from another instance");
+        }
+    }
 }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/ControlPort.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/ControlPort.java
@@ -22,8 +22,9 @@
      * @param work number of the request
      * @param attempt number of the attempt
      * @param progress what arrived since the last call
+     * @param first true for the first output of the attempt
      */
-    void progress(long work, int attempt, Progress progress);
+    void progress(long work, int attempt, Progress progress, boolean first);
 
     /**
      * Tells that an attempt has ended.
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -36,12 +36,6 @@
      */
     private static final int MAX_HELD_BYTES = 256 << 10;
 
-    /**
-     * Least time between two reports of a stream's progress. It is below the pauses of engines that
-     * read a prompt, so that silence is noticed in time.
-     */
-    private static final long REPORT_NANOS = Duration.ofMillis(50).toNanos();
-
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private static final int BAD_GATEWAY = 502;
@@ -219,10 +213,7 @@
         private @Nullable HttpHeaders mHeaders;
         private boolean mStreaming;
         private boolean mResent;
-        private int mUnreported;
         private long mLastOutput;
-        private long mLongestPause;
-        private long mReportedAt;
 
         Attempt(Decision.Start start) {
             mStart = start;
@@ -394,22 +385,12 @@
             measure();
         }
 
-        /** Tells of the first event at once, and of further ones together. */
         private void measure() {
             long now = mWith.ticker().nanos();
             boolean first = mLastOutput == 0;
-            if (!first) {
-                mLongestPause = Math.max(mLongestPause, now - mLastOutput);
-            }
+            Progress progress = new Progress(1, now, first ? 0 : now - mLastOutput);
             mLastOutput = now;
-            mUnreported++;
-            if (first || now - mReportedAt >= REPORT_NANOS) {
-                mReportedAt = now;
-                Progress progress = new Progress(mUnreported, now, mLongestPause);
-                mUnreported = 0;
-                mLongestPause = 0;
-                mWith.control().progress(mWork.id(), mStart.attempt(), progress);
-            }
+            mWith.control().progress(mWork.id(), mStart.attempt(), progress, first);
         }
 
         private void begin() {
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/ManualExecutor.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/ManualExecutor.java
@@ -27,6 +27,11 @@
     private long mNumber;
     private boolean mShutdown;
 
+    /** Returns the time of the clock. */
+    public long nanos() {
+        return mNow;
+    }
+
     /** Runs the tasks that wait. */
     public void runAll() {
         for (Runnable task = mTasks.poll(); task != null; task = mTasks.poll()) {
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherTest.java
@@ -20,7 +20,10 @@
 class TableWatcherTest {
     private final ManualExecutor mControl = new ManualExecutor();
     private final ScriptedStore mStore = new ScriptedStore();
+    private final RecordedFeed mFeed = new RecordedFeed();
     private final List<String> mHeard = new ArrayList<>();
+    private TableWatcher mWatcher;
+    private long mVersion;
 
     @BeforeEach
     void start() {
@@ -41,16 +44,19 @@
                         mHeard.add("lost " + reason);
                     }
                 };
-        new TableWatcher(
+        mWatcher =
+                new TableWatcher(
                         mStore,
                         "table",
                         listener,
+                        mFeed,
                         mControl,
+                        mControl::nanos,
                         new TableWatcher.WatchTimes(
                                 Duration.ofSeconds(4),
                                 Duration.ofMillis(1_500),
-                                Duration.ofMillis(100)))
-                .start();
+                                Duration.ofMillis(100)));
+        mWatcher.start();
     }
 
     @Test
@@ -107,14 +113,107 @@
         assertThat(mHeard).containsExactly("all []", "changed []");
     }
 
+    /** Each call to the store is paid for, and its rate is shared by the whole fleet. */
+    @Test
+    void anInstanceThatOthersKeepUpToDateDoesNotAskTheStore() {
+        mFeed.mReader = false;
+        answer(new Result.Rows(List.of(row("a")), false, 5));
+        mWatcher.fed(news(4, 6, row("b")));
+        answer(new Result.Rows(List.of(), false, 6));
+        int calls = mStore.mCalls.size();
+        for (int i = 0; i < 20; i++) {
+            mWatcher.fed(news(6, 6));
+            mControl.advance(Duration.ofMillis(500));
+        }
+
+        assertThat(mStore.mCalls).hasSize(calls);
+        assertThat(mHeard).contains("changed [b]");
+    }
+
+    @Test
+    void theStoreIsAskedAgainWhenTheOthersFallSilent() {
+        mFeed.mReader = false;
+        answer(new Result.Rows(List.of(row("a")), false, 5));
+        mWatcher.fed(news(4, 6));
+        answer(new Result.Rows(List.of(), false, 6));
+
+        mControl.advance(Duration.ofMillis(1_600));
+
+        assertThat(mStore.mOpen).as("a change has to be in force within 2.5 s").hasSize(1);
+    }
+
+    @Test
+    void aGapInWhatOthersTellMakesTheInstanceAskTheStoreAtOnce() {
+        mFeed.mReader = false;
+        answer(new Result.Rows(List.of(row("a")), false, 5));
+        mWatcher.fed(news(4, 6));
+        answer(new Result.Rows(List.of(), false, 6));
+        assertThat(mStore.mOpen).isEmpty();
+
+        mWatcher.fed(news(9, 9));
+
+        assertThat(mStore.mCalls).endsWith("changes 6");
+        assertThat(mStore.mOpen).hasSize(1);
+    }
+
+    @Test
+    void aReaderAsksTheStoreWhateverOthersTell() {
+        mFeed.mReader = true;
+        answer(new Result.Rows(List.of(row("a")), false, 5));
+        mWatcher.fed(news(4, 6));
+        answer(new Result.Rows(List.of(), false, 6));
+
+        assertThat(mStore.mOpen).hasSize(1);
+    }
+
+    /** A late copy of an entry would bring back an upstream that is gone. */
+    @Test
+    void anOlderCopyOfARowIsIgnored() {
+        Row old = row("a");
+        answer(new Result.Rows(List.of(old), false, 5));
+        mWatcher.fed(news(5, 8, removed("a", 7)));
+        mWatcher.fed(news(5, 6, old));
+
+        assertThat(mHeard).containsExactly("all [a]", "changed [a]");
+        assertThat(mWatcher.whole().rows()).isEmpty();
+    }
+
+    /** An instance that is turned away by the store still has to learn of new upstreams. */
+    @Test
+    void whileTheStoreIsAwayTheTableOfAnotherInstanceIsTaken() {
+        answer(new Result.Rows(List.of(row("a")), false, 5));
+        mFeed.mPulled = new Result.Rows(List.of(row("b"), row("c")), false, 9);
+        answer(new Result.Failed("away", false));
+
+        assertThat(mHeard).contains("lost away", "all [b, c]");
+        assertThat(mFeed.mLog).contains("lost");
+    }
+
+    @Test
+    void removedRowsAreToldToOthersAfterALostHistory() {
+        answer(new Result.Rows(List.of(row("a"), row("b")), false, 5));
+        answer(new Result.HistoryLost());
+        answer(new Result.Rows(List.of(row("c")), false, 50));
+
+        assertThat(mFeed.mLog).containsExactly("5 [a, b]", "50 [c, a, b]");
+    }
+
     private void answer(Result result) {
         mStore.mOpen.remove().complete(result);
         mControl.runAll();
         mControl.advance(Duration.ZERO);
     }
 
-    private static Row row(String key) {
-        return new Row(key, key.getBytes(StandardCharsets.UTF_8), false);
+    private Row row(String key) {
+        return new Row(key, key.getBytes(StandardCharsets.UTF_8), false, ++mVersion);
+    }
+
+    private static Row removed(String key, long version) {
+        return new Row(key, new byte[0], true, version);
+    }
+
+    private TableChanges news(long from, long to, Row... rows) {
+        return new TableChanges("table", from, to, List.of(rows), true);
     }
 
     private static List<String> keys(List<Row> rows) {
@@ -150,4 +249,31 @@
             return open;
         }
     }
+
+    /** Another instance, as the test wants it. */
+    private static final class RecordedFeed implements TableFeed {
+        private final List<String> mLog = new ArrayList<>();
+        private boolean mReader = true;
+        private Result mPulled = new Result.Failed("nobody", false);
+
+        @Override
+        public void read(String table, long version, List<Row> rows) {
+            mLog.add(version + " " + keys(rows));
+        }
+
+        @Override
+        public void lost(String table) {
+            mLog.add("lost");
+        }
+
+        @Override
+        public boolean isReader() {
+            return mReader;
+        }
+
+        @Override
+        public CompletionStage<Result> pull(String table) {
+            return CompletableFuture.completedFuture(mPulled);
+        }
+    }
 }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -350,7 +350,7 @@
         }
 
         @Override
-        public void progress(long work, int attempt, Progress progress) {
+        public void progress(long work, int attempt, Progress progress, boolean first) {
             // Reports of progress have tests of their own.
         }
 
