Tell other regions of load at intervals in a wide fleet; take notices in without waking the control thread

Ruled out: compile thresholds of the virtual machine (scaling 0.05 to 12, interpreter only: no gain or worse, six instances side by side); notices in batches (an instance changes once a second). Change: with 25 instances or more other regions are told every two seconds, and their engines are a last resort. Notices wait in a queue until the control thread has something to decide or a tick comes. Ticks are rarer without requests. Events' numbers are read from their bytes.

--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/FleetModel.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/FleetModel.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import org.gentianwalk.bench.clock.VirtualClock;
 import org.gentianwalk.core.dispatch.LoadShare;
+import org.gentianwalk.core.dispatch.LoadSharing;
 import org.gentianwalk.core.dispatch.Upstream;
 import org.gentianwalk.core.route.EngineSpec;
 import org.jspecify.annotations.Nullable;
@@ -139,10 +140,16 @@
         return other;
     }
 
-    /** Sends a share to all other instances. */
-    void share(InstanceModel from, LoadShare share) {
+    /** Tells whether other regions are told of load at intervals only. */
+    boolean isWide() {
+        return mInstances.size() - 1 >= LoadSharing.WIDE_FLEET;
+    }
+
+    /** Sends a share to the other instances, in other regions only when {@code far} is set. */
+    void share(InstanceModel from, LoadShare share, boolean far) {
         for (InstanceModel to : mInstances) {
-            if (to != from) {
+            boolean near = mTraits.region(to.zone()).equals(mTraits.region(from.zone()));
+            if (to != from && (near || far)) {
                 mClock.after(
                         latency(from.zone(), to.zone()), () -> to.received(from.name(), share));
             }
@@ -230,6 +237,8 @@
                 mInstances.add(new InstanceModel(this, zone + i, zone, mRandom.nextLong()));
             }
         }
+        List<String> names = mInstances.stream().map(InstanceModel::name).toList();
+        mInstances.forEach(instance -> instance.peers(names));
         mInstances.forEach(instance -> instance.listed(List.copyOf(mListed.values())));
     }
 
--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/InstanceModel.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/InstanceModel.java
@@ -25,8 +25,9 @@
 
 /** One instance: carries out what its scheduler decides, over a network with delays. */
 final class InstanceModel {
-    private static final long TICK_NANOS = 25 * VirtualClock.MILLI;
+    private static final long TICK_NANOS = 40 * VirtualClock.MILLI;
     private static final long SHARE_PAUSE_NANOS = 20 * VirtualClock.MILLI;
+    private static final long FAR_PAUSE_NANOS = 2 * VirtualClock.SECOND;
     private static final long CONNECT_TIMEOUT_NANOS = 200 * VirtualClock.MILLI;
 
     private final FleetModel mFleet;
@@ -37,6 +38,7 @@
     private final Map<Long, Open> mOpen = new HashMap<>();
     private long mSharedChanges;
     private long mSharedAt;
+    private long mSharedFarAt;
 
     InstanceModel(FleetModel fleet, String name, String zone, long seed) {
         mFleet = fleet;
@@ -63,6 +65,10 @@
         return mZone;
     }
 
+    void peers(Collection<String> instances) {
+        mScheduler.retainPeers(instances.stream().filter(name -> !name.equals(mName)).toList());
+    }
+
     void listed(Collection<Upstream> upstreams) {
         mScheduler.upstreams(upstreams, mClock.now());
         carryOut();
@@ -140,8 +146,11 @@
         if (changes != mSharedChanges && mClock.now() - mSharedAt >= SHARE_PAUSE_NANOS) {
             mSharedChanges = changes;
             mSharedAt = mClock.now();
-            LoadShare share = mScheduler.share(mClock.now());
-            mFleet.share(this, share);
+            boolean far = !mFleet.isWide() || mClock.now() - mSharedFarAt >= FAR_PAUSE_NANOS;
+            if (far) {
+                mSharedFarAt = mClock.now();
+            }
+            mFleet.share(this, mScheduler.share(mClock.now()), far);
         }
     }
 
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineChoice.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineChoice.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.random.RandomGenerator;
+import org.gentianwalk.core.model.Location.Distance;
 import org.gentianwalk.core.route.EngineSpec;
 import org.jspecify.annotations.Nullable;
 
@@ -27,6 +28,13 @@
     private static final long ZONE_COST_NANOS = Duration.ofMillis(20).toNanos();
 
     private static final long REGION_COST_NANOS = Duration.ofMillis(60).toNanos();
+
+    /**
+     * The same in a wide fleet, where the load of another region is known with a delay of seconds:
+     * many instances would otherwise send their prompts to the same engine there.
+     */
+    private static final long FAR_COST_NANOS = Duration.ofMillis(900).toNanos();
+
     private static final long TIE_COST_NANOS = Duration.ofMillis(10).toNanos();
 
     /** Backlog that a full memory is worth, so that load spreads. */
@@ -35,6 +43,9 @@
     /** Time in which an engine fetches a prompt that another one keeps. */
     private static final double FETCH_NANOS = Duration.ofMillis(250).toNanos();
 
+    /** Fill of memory that a keeper in another region of a wide fleet is worth. */
+    private static final double KEEPER_FAR = 0.4;
+
     /** Fill of a keeper's memory that a tie is worth. */
     private static final double KEEPER_TIE = 0.01;
 
@@ -43,6 +54,7 @@
     private final EngineBoard mBoard;
     private final EnginePace mPace;
     private final RandomGenerator mRandom;
+    private boolean mWide;
 
     EngineChoice(
             EngineSpec spec,
@@ -57,6 +69,11 @@
         mRandom = random;
     }
 
+    /** Sets whether the load of other regions is known with a delay only. */
+    void wide(boolean wide) {
+        mWide = wide;
+    }
+
     /** Returns the engine that is best to read a prompt, or null when the run should wait. */
     @Nullable EngineState engine(StreamRun run, long nowNanos) {
         EngineState best = null;
@@ -74,7 +91,8 @@
             double delay =
                     engine.backlog(mPace.tokensPerNano(), nowNanos)
                             + (double) engine.decoding() * DECODING_COST_NANOS;
-            if (delay > limit) {
+            boolean far = mWide && isFar(engine);
+            if (delay + (far ? FAR_COST_NANOS : 0) > limit) {
                 continue;
             }
             double toRead = toReadNanos(engine, holder, run);
@@ -105,6 +123,9 @@
             }
             double fill = (double) other.memory() / mSpec.memoryTokens();
             double cost = fill + KEEPER_TIE * mRandom.nextDouble();
+            if (mWide && isFar(other)) {
+                cost += KEEPER_FAR;
+            }
             if (best == null || cost < bestCost) {
                 best = other;
                 bestCost = cost;
@@ -136,11 +157,15 @@
         return MAX_DELAY_NANOS + (nowNanos - run.work().arrivedNanos()) / 2;
     }
 
+    private boolean isFar(EngineState engine) {
+        return mLocations.distance(engine.upstream().zone()) == Distance.OTHER_REGION;
+    }
+
     private long distanceCost(EngineState engine) {
         return switch (mLocations.distance(engine.upstream().zone())) {
             case SAME_ZONE -> 0;
             case SAME_REGION -> ZONE_COST_NANOS;
-            case OTHER_REGION -> REGION_COST_NANOS;
+            case OTHER_REGION -> mWide ? FAR_COST_NANOS : REGION_COST_NANOS;
         };
     }
 }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LoadSharing.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LoadSharing.java
@@ -4,6 +4,12 @@
 
 /** A scheduler that decides better when it knows what other instances have at its engines. */
 public interface LoadSharing {
+    /**
+     * Number of other instances from which on those of other regions tell of their load at
+     * intervals only, so that engines there are a last resort.
+     */
+    int WIDE_FLEET = 24;
+
     /**
      * Returns what this instance has at the engines.
      *
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -290,12 +290,12 @@
     public void peerShare(String instance, LoadShare share, long nowNanos) {
         mBoard.peerShare(instance, share, nowNanos);
         mRetries.others(instance, share.usage());
-        dispatch(nowNanos);
     }
 
     @Override
     public void retainPeers(Collection<String> instances) {
         mBoard.retainPeers(instances);
+        mChoice.wide(instances.size() >= WIDE_FLEET);
         mRetries.retainOthers(instances);
     }
 
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -52,9 +52,12 @@
 public final class ControlPlane implements ControlPort, LoadListener {
     private static final Logger LOG = Logger.getLogger(ControlPlane.class);
 
-    /** Time between two looks at what is due. */
+    /** Time between two looks at what is due while there are requests. */
     private static final Duration TICK = Duration.ofMillis(40);
 
+    /** The same without requests. */
+    private static final Duration IDLE_TICK = Duration.ofMillis(120);
+
     /**
      * Longest wait for a change. A connection to the store that falls silent is noticed after it,
      * which has to be within the time for a configuration to be in force.
@@ -129,8 +132,7 @@
         fleet.start(mSettings.mesh().address());
         mFleet = fleet;
         mControl.execute(() -> mWatchers.forEach(TableWatcher::start));
-        mControl.scheduleWithFixedDelay(
-                this::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
+        mControl.schedule(this::tick, TICK.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private TableWatcher watcher(
@@ -186,7 +188,7 @@
             // The first output frees an engine for the next prompt.
             mControl.execute(
                     () -> {
-                        takeProgress();
+                        takeIn();
                         Request request = mRequests.get(work);
                         if (request != null) {
                             carryOut(request.scheduler());
@@ -195,7 +197,12 @@
         }
     }
 
-    private void takeProgress() {
+    /** Takes in what other threads and instances have left for the next decision. */
+    private void takeIn() {
+        FleetLink fleet = mFleet;
+        if (fleet != null) {
+            fleet.takeArrived();
+        }
         mProgress.drain(
                 (work, attempt, progress) -> {
                     Request request = mRequests.get(work);
@@ -214,6 +221,7 @@
                     if (request == null) {
                         return;
                     }
+                    takeIn();
                     mLog.attemptEnded(request.work(), attempt, end, cause, mTicker.nanos());
                     if (load != null) {
                         request.scheduler().loadStated(work, load, mTicker.nanos());
@@ -264,6 +272,7 @@
             mTraffic.execute(() -> exchange.finish(refusal));
             return;
         }
+        takeIn();
         mRequests.put(work.id(), new Request(work, scheduler, exchange));
         scheduler.offer(work, mTicker.nanos());
         carryOut(scheduler);
@@ -271,7 +280,7 @@
 
     private void tick() {
         try {
-            takeProgress();
+            takeIn();
             mDirectory.advance(mTicker.nanos());
             applyDirectory();
             for (WorkScheduler scheduler : mSchedulers.values()) {
@@ -279,9 +288,10 @@
             }
             exchange();
         } catch (RuntimeException e) {
-            // A periodic task that throws would never run again.
             LOG.error("a tick of the control thread failed", e);
         }
+        Duration pause = mRequests.isEmpty() ? IDLE_TICK : TICK;
+        mControl.schedule(this::tick, pause.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void exchange() {
@@ -318,7 +328,6 @@
             WorkScheduler scheduler = mSchedulers.get(share.service());
             if (scheduler instanceof LoadSharing sharing) {
                 sharing.peerShare(instance, share, mTicker.nanos());
-                carryOut(scheduler);
             }
         }
     }
@@ -369,7 +378,7 @@
                             mControl.execute(
                                     () -> {
                                         mConfirming.remove(scheduler);
-                                        takeProgress();
+                                        takeIn();
                                         aware.inputTaken(asked);
                                         carryOut(scheduler);
                                     }));
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/FleetLink.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/FleetLink.java
@@ -94,7 +94,7 @@
                         new MetricRegistry());
         Membership membership = new Membership(mSelf, MembershipOptions.DEFAULT, incarnation);
         mDriver = new MembershipDriver(membership, mMesh, control, ticker);
-        mLoads = new LoadExchange(mMesh, mSelf, listener, control, ticker);
+        mLoads = new LoadExchange(mMesh, mSelf, listener, ticker);
         mTables = new TableExchange(mMesh, mSelf, control, ticker, new Random(incarnation));
     }
 
@@ -121,6 +121,11 @@
         mTables.advance();
     }
 
+    /** Takes in what other instances have told. To be called before decisions. */
+    public void takeArrived() {
+        mLoads.takeArrived();
+    }
+
     /**
      * Returns the way to tell other instances what this one reads from the store.
      *
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/EventSplitter.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/EventSplitter.java
@@ -1,13 +1,15 @@
 package org.gentianwalk.gateway.traffic;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 
 /** Splits the bytes of a stream into whole events (text/event-stream). */
 final class EventSplitter {
-    private static final String NUMBER_FIELD = "id:";
+    private static final byte[] NUMBER_FIELD = {'i', 'd', ':'};
+
+    /** Digits of the longest number that fits. */
+    private static final int MAX_DIGITS = 18;
 
     private byte[] mBytes = new byte[512];
     private int mLength;
@@ -49,17 +51,40 @@
         return before > start && mBytes[before] == '\n';
     }
 
+    /** Reads the number of an event from its bytes; a text would have to be made for each line. */
     private static long number(byte[] event) {
-        for (String line : new String(event, StandardCharsets.UTF_8).split("\n")) {
-            if (line.startsWith(NUMBER_FIELD)) {
-                try {
-                    return Long.parseLong(line.substring(NUMBER_FIELD.length()).trim());
-                } catch (NumberFormatException e) {
-                    // The field may hold any text; such an event has no position in the stream.
-                    return StreamEvent.UNNUMBERED;
-                }
+        boolean lineStart = true;
+        for (int i = 0; i < event.length; i++) {
+            if (lineStart && startsWith(event, i)) {
+                return digits(event, i + NUMBER_FIELD.length);
             }
+            lineStart = event[i] == '\n';
         }
         return StreamEvent.UNNUMBERED;
     }
+
+    private static boolean startsWith(byte[] event, int from) {
+        int end = from + NUMBER_FIELD.length;
+        return end <= event.length
+                && Arrays.equals(event, from, end, NUMBER_FIELD, 0, NUMBER_FIELD.length);
+    }
+
+    /** Returns the number; a field with any other text leaves the event without a position. */
+    private static long digits(byte[] event, int from) {
+        int i = from;
+        while (i < event.length && event[i] == ' ') {
+            i++;
+        }
+        long number = 0;
+        int count = 0;
+        for (; i < event.length && event[i] >= '0' && event[i] <= '9'; i++) {
+            number = number * 10 + event[i] - '0';
+            count++;
+        }
+        while (i < event.length && (event[i] == ' ' || event[i] == '\r')) {
+            i++;
+        }
+        boolean whole = count > 0 && count <= MAX_DIGITS && i < event.length && event[i] == '\n';
+        return whole ? number : StreamEvent.UNNUMBERED;
+    }
 }
