--- /dev/null
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/FleetBenchmark.java
@@ -0,0 +1,101 @@
+package org.gentianwalk.bench.fleet;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.LongStream;
+
+/** Runs experiments on modelled fleets over several seeds and prints what callers got. */
+public final class FleetBenchmark {
+    private static final String ROW = "%-12s %-18s %6s %6s %7s %7s %6s %7s %7s%n";
+
+    private final PrintStream mOut;
+
+    /**
+     * Creates a benchmark.
+     *
+     * @param out gets one line for each deployment and experiment
+     */
+    public FleetBenchmark(PrintStream out) {
+        mOut = out;
+    }
+
+    /**
+     * Runs every experiment on every deployment.
+     *
+     * @param deployments the deployments
+     * @param experiments the experiments
+     * @param seeds number of seeds, from 1
+     */
+    public void run(List<FleetTraits> deployments, List<Experiment> experiments, int seeds) {
+        mOut.printf(
+                ROW,
+                "deployment",
+                "experiment",
+                "worth",
+                "worst",
+                "urgent",
+                "others",
+                "again",
+                "p50 ms",
+                "p95 ms");
+        for (FleetTraits deployment : deployments) {
+            for (Experiment experiment : experiments) {
+                print(deployment, experiment, results(deployment, experiment, seeds));
+            }
+        }
+    }
+
+    private static List<FleetResult> results(
+            FleetTraits deployment, Experiment experiment, int seeds) {
+        return LongStream.rangeClosed(1, seeds)
+                .parallel()
+                .mapToObj(
+                        seed ->
+                                FleetModel.run(
+                                        deployment,
+                                        seed,
+                                        Experiment.DAY_MILLIS,
+                                        experiment.patterns()))
+                .toList();
+    }
+
+    private void print(FleetTraits deployment, Experiment experiment, List<FleetResult> results) {
+        double worth = 0;
+        double worst = 1;
+        double urgent = 0;
+        double others = 0;
+        double again = 0;
+        List<Long> median = new ArrayList<>();
+        List<Long> high = new ArrayList<>();
+        for (FleetResult result : results) {
+            worth += result.worth() / results.size();
+            worst = Math.min(worst, result.worth());
+            urgent += result.kind(0).onTime() / results.size();
+            others += result.kind(1).onTime() / results.size();
+            again += result.readAgain() / results.size();
+            median.add(result.kind(1).wholeMillis(0.5));
+            high.add(result.kind(1).wholeMillis(0.95));
+        }
+        mOut.printf(
+                ROW,
+                deployment.name(),
+                experiment.name(),
+                part(worth),
+                part(worst),
+                part(urgent),
+                part(others),
+                part(again),
+                middle(median),
+                middle(high));
+    }
+
+    private static String part(double value) {
+        return String.format(Locale.ROOT, "%.3f", value);
+    }
+
+    private static long middle(List<Long> values) {
+        return values.stream().sorted().toList().get(values.size() / 2);
+    }
+}
--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/FleetTraits.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/FleetTraits.java
@@ -25,6 +25,9 @@
         List<Kind> kinds,
         double zoneMillis,
         double regionMillis) {
+    private static final Map<String, String> SIX_ZONES =
+            Map.of("a", "near", "b", "far", "c", "near", "d", "far", "e", "near", "f", "far");
+
     public FleetTraits {
         zones = Map.copyOf(zones);
         kinds = List.copyOf(kinds);
@@ -62,10 +65,57 @@
         return Objects.requireNonNull(zones.get(zone), zone);
     }
 
+    /**
+     * Returns the deployments that are modelled.
+     *
+     * @return the small ones first
+     */
+    public static List<FleetTraits> all() {
+        return List.of(kvali(), vanDaele(), kvaliGrown(), vanDaeleGrown());
+    }
+
+    /**
+     * Returns the catalogue consortium's deployment after it has grown.
+     *
+     * @return 66 instances and 84 engines in six zones
+     */
+    public static FleetTraits kvaliGrown() {
+        return new FleetTraits(
+                "kvali-grown",
+                SIX_ZONES,
+                11,
+                14,
+                new EngineTraits(16, 33, 88_000, 6, 5.18, 0.0367, 8, 200),
+                List.of(
+                        new Kind("quote", 0, 2.05, 4_000, 700, 25_000, 140, 1.8),
+                        new Kind("refresh", 2, 17.6, 10_000, 700, 25_000, 38, 1.7)),
+                0.9,
+                12);
+    }
+
+    /**
+     * Returns the renewal desk's deployment after it has grown.
+     *
+     * @return 78 instances and 78 engines in six zones
+     */
+    public static FleetTraits vanDaeleGrown() {
+        return new FleetTraits(
+                "daele-grown",
+                SIX_ZONES,
+                13,
+                13,
+                new EngineTraits(12, 33, 88_000, 9, 3.37, 0.0367, 8, 200),
+                List.of(
+                        new Kind("renewal", 0, 1.89, 4_000, 700, 25_000, 160, 1.9),
+                        new Kind("amendment", 2, 16.4, 10_000, 700, 25_000, 42, 1.9)),
+                1.4,
+                12);
+    }
+
     /**
      * Returns the deployment of the catalogue consortium.
      *
-     * @return nine instances and 36 engines in three zones
+     * @return nine instances and 24 engines in three zones
      */
     public static FleetTraits kvali() {
         return new FleetTraits(
--- a/gentianwalk-cli/src/main/java/org/gentianwalk/cli/BenchCommand.java
+++ b/gentianwalk-cli/src/main/java/org/gentianwalk/cli/BenchCommand.java
@@ -7,5 +7,10 @@
         name = "bench",
         mixinStandardHelpOptions = true,
         description = "Runs experiments and measurements on loopback or on a virtual clock.",
-        subcommands = {BenchPolicyCommand.class, BenchPathCommand.class, BenchCompareCommand.class})
+        subcommands = {
+            BenchPolicyCommand.class,
+            BenchFleetCommand.class,
+            BenchPathCommand.class,
+            BenchCompareCommand.class
+        })
 public final class BenchCommand extends CommandGroup {}
