Let instances choose different engines for requests that arrive at once

The instances that get them see the same load, so all chose the same engine; each prompt then waited a second for each one before it.

Ruled out: more random cost.

Change: instances and usable engines are ordered by region, zone and name. The distance of an engine from the instance's own position on that ring costs up to the prefill time of the prompt. An instance of a service that is configured later gets the view of its peers as well.

--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/FleetModel.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/FleetModel.java
@@ -1,6 +1,7 @@
 package org.gentianwalk.bench.fleet;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -48,7 +49,10 @@
         mTraits = traits;
         mRandom = new Random(seed);
         mEndMillis = endMillis;
-        mZones = traits.zones().keySet().stream().sorted().toList();
+        mZones =
+                traits.zones().keySet().stream()
+                        .sorted(Comparator.comparing(traits::region).thenComparing(zone -> zone))
+                        .toList();
         mResult = new FleetResult(traits);
     }
 
@@ -292,14 +296,27 @@
                 if (burst != null && at >= burst[1] && at < burst[2]) {
                     rate *= burst[0];
                 }
-                at += -Math.log(1 - mRandom.nextDouble()) / rate * 1000;
-                if (at < mEndMillis) {
+                int group = drawGroupSize();
+                at += -Math.log(1 - mRandom.nextDouble()) / rate * 1000 * mTraits.groupSize();
+                if (at >= mEndMillis) {
+                    break;
+                }
+                for (int i = 0; i < group; i++) {
                     mClock.at(Math.round(at * VirtualClock.MILLI), () -> createRequest(index));
                 }
             }
         }
     }
 
+    /** Draws the size of a group from a geometric distribution. */
+    private int drawGroupSize() {
+        int size = 1;
+        while (mTraits.groupSize() > 1 && mRandom.nextDouble() < 1 - 1 / mTraits.groupSize()) {
+            size++;
+        }
+        return size;
+    }
+
     private void createRequest(int kind) {
         FleetTraits.Kind traits = mTraits.kinds().get(kind);
         int prompt = (int) drawLength(PROMPT_MEAN, PROMPT_SPREAD, PROMPT_MAX);
--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/FleetTraits.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/FleetTraits.java
@@ -15,6 +15,7 @@
  * @param kinds the kinds of request
  * @param zoneMillis one-way latency between zones of a region, milliseconds
  * @param regionMillis one-way latency between regions, milliseconds
+ * @param groupSize mean number of requests that arrive at the same moment, at different instances
  */
 public record FleetTraits(
         String name,
@@ -24,7 +25,8 @@
         EngineTraits engine,
         List<Kind> kinds,
         double zoneMillis,
-        double regionMillis) {
+        double regionMillis,
+        double groupSize) {
     private static final Map<String, String> SIX_ZONES =
             Map.of("a", "near", "b", "far", "c", "near", "d", "far", "e", "near", "f", "far");
 
@@ -95,7 +97,8 @@
                         new Kind("complaint", 1, 1.21, 4_500, 700, 25_000, 45, 1.3),
                         new Kind("refund", 1, 0.411, 4_500, 700, 25_000, 45, 1.3)),
                 1.4,
-                12);
+                12,
+                3);
     }
 
     /**
@@ -115,7 +118,8 @@
                         new Kind("complaint", 1, 13.4, 4_513, 700, 25_074, 40, 1.2),
                         new Kind("refund", 1, 2.95, 4_513, 700, 25_074, 40, 1.2)),
                 0.9,
-                12);
+                12,
+                3);
     }
 
     /**
@@ -134,7 +138,8 @@
                         new Kind("quote", 0, 2.05, 4_000, 700, 25_000, 140, 1.8),
                         new Kind("refresh", 2, 17.6, 10_000, 700, 25_000, 38, 1.7)),
                 0.9,
-                12);
+                12,
+                1);
     }
 
     /**
@@ -153,7 +158,8 @@
                         new Kind("renewal", 0, 1.89, 4_000, 700, 25_000, 160, 1.9),
                         new Kind("amendment", 2, 16.4, 10_000, 700, 25_000, 42, 1.9)),
                 1.4,
-                12);
+                12,
+                1);
     }
 
     /**
@@ -172,7 +178,8 @@
                         new Kind("quote", 0, 0.62, 4_000, 700, 25_000, 140, 1.8),
                         new Kind("refresh", 2, 5.28, 10_000, 700, 25_000, 38, 1.7)),
                 1.4,
-                12);
+                12,
+                1);
     }
 
     /**
@@ -191,6 +198,7 @@
                         new Kind("renewal", 0, 0.294, 4_000, 700, 25_000, 240, 2.9),
                         new Kind("amendment", 2, 3.64, 10_000, 700, 25_000, 64, 2.9)),
                 1.4,
-                12);
+                12,
+                1);
     }
 }
--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/InstanceModel.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/InstanceModel.java
@@ -3,9 +3,11 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.gentianwalk.bench.clock.VirtualClock;
 import org.gentianwalk.core.dispatch.AttemptEnd;
 import org.gentianwalk.core.dispatch.Decision;
@@ -14,6 +16,7 @@
 import org.gentianwalk.core.dispatch.InstanceLoad;
 import org.gentianwalk.core.dispatch.LivenessAware.LivenessCheck;
 import org.gentianwalk.core.dispatch.LocationMap;
+import org.gentianwalk.core.dispatch.PeerView;
 import org.gentianwalk.core.dispatch.Progress;
 import org.gentianwalk.core.dispatch.PromptPart;
 import org.gentianwalk.core.dispatch.RetryBounds;
@@ -70,8 +73,11 @@
         return mZone;
     }
 
-    void updatePeers(Collection<String> instances) {
-        mScheduler.retainPeers(instances.stream().filter(name -> !name.equals(mName)).toList());
+    /** Updates the live instances, ordered by zone and name. */
+    void updatePeers(List<String> instances) {
+        Set<String> peers = new HashSet<>(instances);
+        peers.remove(mName);
+        mScheduler.updatePeers(new PeerView(peers, instances.indexOf(mName)));
     }
 
     void updateUpstreams(Collection<Upstream> upstreams) {
--- a/gentianwalk-bench/src/test/java/org/gentianwalk/bench/fleet/FleetModelTest.java
+++ b/gentianwalk-bench/src/test/java/org/gentianwalk/bench/fleet/FleetModelTest.java
@@ -18,6 +18,9 @@
     /** Minimum delivered fraction with crashes under normal load. */
     private static final double NORMAL_LOAD_TARGET = 0.80;
 
+    /** Fraction of requests whose first token and pauses must be on time without failures. */
+    private static final double ON_TIME_TARGET = 0.95;
+
     /** Maximum number of prompt tokens that are prefilled repeatedly, relative to all prompts. */
     private static final double MAX_READ_AGAIN = 0.1;
 
@@ -81,6 +84,22 @@
         }
     }
 
+    /**
+     * Groups of requests that arrive at the same moment at several instances. Guards against
+     * placement in which instances with the same knowledge choose the same engine.
+     */
+    @Test
+    void groupsOfRequestsAreSpreadOverEngines() {
+        for (long seed = 1; seed <= 5; seed++) {
+            FleetResult result =
+                    FleetModel.run(FleetTraits.zarqa(), seed, ARRIVALS_MILLIS, List.of());
+
+            assertThat(result.worth())
+                    .as("seed %d: %s", seed, result)
+                    .isGreaterThan(ON_TIME_TARGET);
+        }
+    }
+
     /**
      * Mass crash of a zone with long prompts on machines that are slow for moments. Guards against
      * recovery that overloads the survivors: the prompts of lost generations lengthen the pauses of
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
@@ -1,6 +1,9 @@
 package org.gentianwalk.core.dispatch;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
 import java.util.random.RandomGenerator;
 import org.gentianwalk.core.model.Location.Distance;
 import org.gentianwalk.core.route.EngineSpec;
@@ -57,6 +60,7 @@
     private final EngineSpeed mSpeed;
     private final RandomGenerator mRandom;
     private boolean mWide;
+    private double mPosition;
 
     EngineSelector(
             EngineSpec spec,
@@ -71,9 +75,11 @@
         mRandom = random;
     }
 
-    /** Sets whether load reports of other regions are sent at intervals only. */
-    void wide(boolean wide) {
-        mWide = wide;
+    /** Updates the live instances. */
+    void updatePeers(PeerView peers) {
+        // Load reports of other regions are then sent at intervals only.
+        mWide = peers.peers().size() >= PeerLoadAware.WIDE_FLEET;
+        mPosition = (double) peers.position() / peers.instances();
     }
 
     /** Returns the engine with the lowest cost for a run, or null when the run should wait. */
@@ -82,8 +88,14 @@
         double bestCost = 0;
         EngineState cacheHolder = mEngineView.cacheHolder(run.part(), nowNanos);
         long maxDelay = maxDelayNanos(run, nowNanos);
-        for (EngineState engine : mEngineView.engines()) {
-            if (!mEngineView.isUsable(engine, nowNanos) || engine.running() >= mSpec.slots()) {
+        List<EngineState> usable = usableEngines(nowNanos);
+        // Instances at which requests arrive at the same moment see the same load. Two of them at
+        // the same engine cost one of them the prefill time of the other; their positions make
+        // them choose different engines.
+        double ringCost = run.promptTokens() / mSpeed.prefillTokensPerNano();
+        for (int i = 0; i < usable.size(); i++) {
+            EngineState engine = usable.get(i);
+            if (engine.running() >= mSpec.slots()) {
                 continue;
             }
             double memory = (double) engine.memory() / mSpec.memoryTokens();
@@ -103,6 +115,7 @@
                             + prefill
                             + memory * MEMORY_COST_NANOS
                             + distanceCost(engine)
+                            + ringCost * ringDistance(i, usable.size())
                             + TIE_COST_NANOS * mRandom.nextDouble();
             if (best == null || cost < bestCost) {
                 best = engine;
@@ -134,6 +147,28 @@
         return best;
     }
 
+    /** Returns the usable engines in the same order at all instances: by region, zone and id. */
+    private List<EngineState> usableEngines(long nowNanos) {
+        List<EngineState> usable = new ArrayList<>();
+        for (EngineState engine : mEngineView.engines()) {
+            if (mEngineView.isUsable(engine, nowNanos)) {
+                usable.add(engine);
+            }
+        }
+        usable.sort(
+                Comparator.<EngineState, String>comparing(
+                                engine -> mLocations.region(engine.upstream().zone()))
+                        .thenComparing(engine -> engine.upstream().zone())
+                        .thenComparing(engine -> engine.upstream().id()));
+        return usable;
+    }
+
+    /** Returns the distance from the own position to an engine on the ring, from 0 to 1. */
+    private double ringDistance(int index, int engines) {
+        double distance = (double) index / engines - mPosition;
+        return distance < 0 ? distance + 1 : distance;
+    }
+
     private double prefillNanos(
             EngineState engine, @Nullable EngineState cacheHolder, StreamRun run) {
         if (engine == cacheHolder) {
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LocationMap.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LocationMap.java
@@ -15,6 +15,16 @@
         regions = Map.copyOf(regions);
     }
 
+    /**
+     * Returns the region of a zone.
+     *
+     * @param zone the zone
+     * @return its region, or an empty string when the zone is not in the map
+     */
+    public String region(String zone) {
+        return regions.getOrDefault(zone, "");
+    }
+
     /**
      * Returns the distance to a zone.
      *
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/PeerLoadAware.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/PeerLoadAware.java
@@ -1,7 +1,5 @@
 package org.gentianwalk.core.dispatch;
 
-import java.util.Collection;
-
 /** A scheduler that takes the load of other instances at its engines into account. */
 public interface PeerLoadAware {
     /**
@@ -35,9 +33,9 @@
     void recordPeerLoad(String instance, InstanceLoad load, long nowNanos);
 
     /**
-     * Discards the reports of instances that are no longer alive.
+     * Updates the live instances; reports of others are discarded.
      *
-     * @param instances the other live instances
+     * @param peers the live instances
      */
-    void retainPeers(Collection<String> instances);
+    void updatePeers(PeerView peers);
 }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -306,10 +306,10 @@
     }
 
     @Override
-    public void retainPeers(Collection<String> instances) {
-        mEngineView.retainPeers(instances);
-        mSelector.wide(instances.size() >= WIDE_FLEET);
-        mRetries.retainPeers(instances);
+    public void updatePeers(PeerView peers) {
+        mEngineView.retainPeers(peers.peers());
+        mSelector.updatePeers(peers);
+        mRetries.retainPeers(peers.peers());
     }
 
     /** Ends all attempts at an engine process that is known to have ended. */
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamSchedulerTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamSchedulerTest.java
@@ -10,8 +10,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.gentianwalk.core.dispatch.Decision.Ending;
 import org.gentianwalk.core.dispatch.LivenessAware.LivenessCheck;
 import org.gentianwalk.core.route.RequestKind;
@@ -81,6 +83,33 @@
                 .containsExactly(7L);
     }
 
+    /**
+     * Instances that see the same load must not all choose the same engine, where each prompt would
+     * wait for the prefill of the others.
+     */
+    @Test
+    void requestsThatArriveAtOnceAtDifferentInstancesGoToDifferentEngines() {
+        Set<String> names = Set.of("peer-1", "peer-2", "peer-3", "peer-4", "peer-5");
+        List<String> chosen = new ArrayList<>();
+        for (int position = 0; position < names.size(); position++) {
+            StreamScheduler scheduler =
+                    new StreamScheduler(
+                            "service",
+                            Samples.SPEC,
+                            Samples.LOCATIONS,
+                            Samples.retries(),
+                            Samples.random());
+            Set<String> peers = new HashSet<>(names);
+            peers.remove("peer-" + (position + 1));
+            scheduler.updatePeers(new PeerView(peers, position));
+            scheduler.replaceUpstreams(mEngines, 0);
+            scheduler.offer(stream(1, 2, 8_000, 0), 0);
+            chosen.add(starts(scheduler.advance(0)).getFirst().upstream().id());
+        }
+
+        assertThat(chosen).doesNotHaveDuplicates();
+    }
+
     @Test
     void theCopyIsKeptInAnotherZone() {
         Decision.Start start = offer(stream(1, 2, 8_000, 0), 0);
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
@@ -23,6 +22,7 @@
 import org.gentianwalk.core.dispatch.InstanceLoad;
 import org.gentianwalk.core.dispatch.LivenessAware;
 import org.gentianwalk.core.dispatch.PeerLoadAware;
+import org.gentianwalk.core.dispatch.PeerView;
 import org.gentianwalk.core.dispatch.Progress;
 import org.gentianwalk.core.dispatch.StreamScheduler;
 import org.gentianwalk.core.dispatch.Upstream;
@@ -90,6 +90,7 @@
     private final List<FleetRetryBudget> mRetries = new ArrayList<>();
     private final GatewayLog mLog = new GatewayLog();
     private final List<TableWatcher> mWatchers = new ArrayList<>();
+    private PeerView mPeers = PeerView.ALONE;
     private @Nullable FleetLink mFleet;
     private volatile @Nullable RouteTable mTable;
 
@@ -346,10 +347,11 @@
     }
 
     @Override
-    public void retainPeers(Collection<String> instances) {
+    public void updatePeers(PeerView peers) {
+        mPeers = peers;
         for (WorkScheduler scheduler : mSchedulers.values()) {
             if (scheduler instanceof PeerLoadAware aware) {
-                aware.retainPeers(instances);
+                aware.updatePeers(peers);
             }
         }
     }
@@ -476,6 +478,9 @@
                                 retries,
                                 random);
         scheduler.replaceUpstreams(mDirectory.upstreams(service.name()), mTicker.nanos());
+        if (scheduler instanceof PeerLoadAware aware) {
+            aware.updatePeers(mPeers);
+        }
         return scheduler;
     }
 
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadExchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadExchange.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -11,6 +12,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import org.gentianwalk.core.dispatch.InstanceLoad;
 import org.gentianwalk.core.dispatch.PeerLoadAware;
+import org.gentianwalk.core.dispatch.PeerView;
 import org.gentianwalk.core.membership.Member;
 import org.gentianwalk.core.membership.MemberView;
 import org.gentianwalk.core.time.Ticker;
@@ -41,6 +43,11 @@
     /** Capacity of the queue of received notices; excess ones are dropped, newer ones follow. */
     private static final int MAX_QUEUED_NOTICES = 4_096;
 
+    private static final Comparator<Member> LOCATION_ORDER =
+            Comparator.<Member, String>comparing(member -> member.location().region())
+                    .thenComparing(member -> member.location().availabilityZone())
+                    .thenComparing(Member::id);
+
     private final MeshNode mMesh;
     private final Member mSelf;
     private final LoadListener mListener;
@@ -70,11 +77,13 @@
         mByZone.clear();
         List<Member> zoneMembers = new ArrayList<>();
         Set<String> live = new HashSet<>();
+        int position = 0;
         for (Member member : view.members()) {
             if (member.id().equals(mSelf.id())) {
                 continue;
             }
             live.add(peerKey(member.id(), member.incarnation()));
+            position += LOCATION_ORDER.compare(member, mSelf) < 0 ? 1 : 0;
             if (member.location().equals(mSelf.location())) {
                 zoneMembers.add(member);
             }
@@ -83,7 +92,7 @@
         }
         mZoneMembers = List.copyOf(zoneMembers);
         mWideFleet = live.size() >= PeerLoadAware.WIDE_FLEET;
-        mListener.retainPeers(live);
+        mListener.updatePeers(new PeerView(live, position));
     }
 
     /** Sends a notice if one is due. Must be called after changes and at least every 50 ms. */
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadListener.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadListener.java
@@ -1,8 +1,8 @@
 package org.gentianwalk.gateway.fleet;
 
-import java.util.Collection;
 import java.util.List;
 import org.gentianwalk.core.dispatch.InstanceLoad;
+import org.gentianwalk.core.dispatch.PeerView;
 
 /**
  * Supplies the load of this instance and receives that of the other instances. Called on the
@@ -32,10 +32,9 @@
     void recordPeerLoads(String instance, List<InstanceLoad> loads);
 
     /**
-     * Discards the reports of all instances but the given ones.
+     * Updates the live instances; reports of others are discarded.
      *
-     * @param instances the other live instances with their incarnations, as in {@link
-     *     #recordPeerLoads}
+     * @param peers the live instances, named as in {@link #recordPeerLoads}
      */
-    void retainPeers(Collection<String> instances);
+    void updatePeers(PeerView peers);
 }
