Set the cost of the ring to a fifth of the prefill

The test of the ring uses engines of one region: an engine in another region is no longer an equal choice. Each instance still has to choose another engine.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
@@ -60,7 +60,7 @@
      * see the same load, and one of two prompts at the same engine waits for the prefill of the
      * other. The positions make them choose different engines of about the same load.
      */
-    private static final double RING_COST = 0.1;
+    private static final double RING_COST = 0.2;
 
     private final EngineSpec mSpec;
     private final LocationMap mLocations;
