Log the prompt parts of each attempt and its first output

The log shows placements and resets, but not which part the requests have in common, nor whether an engine had begun to write before it was lost. It could not tell a part that crashes engines from a request that does, nor either from losses that no request causes.

Placements now carry the prompt parts and the start time of the engine process, and the first output of an attempt has a line. No logic is changed.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -204,6 +204,7 @@
                         drainInput();
                         Request request = mRequests.get(work);
                         if (request != null) {
+                            mLog.outputStarted(request.work(), attempt, mTicker.nanos());
                             executeDecisions(request.scheduler());
                         }
                     });
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
@@ -1,14 +1,17 @@
 package org.gentianwalk.gateway.log;
 
 import java.util.Locale;
+import java.util.stream.Collectors;
 import org.gentianwalk.core.dispatch.AttemptEnd;
 import org.gentianwalk.core.dispatch.Decision;
+import org.gentianwalk.core.dispatch.GenerationShape;
 import org.gentianwalk.core.dispatch.LivenessAware.LivenessCheck;
 import org.gentianwalk.core.dispatch.Upstream;
 import org.gentianwalk.core.dispatch.Work;
 import org.gentianwalk.gateway.traffic.Delivery;
 import org.gentianwalk.server.log.Fields;
 import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Writes one log line for each decision about a request and for each change of the instance's state
@@ -35,7 +38,9 @@
                         .with("attempt", start.attempt())
                         .with("from_event", start.work().eventsSeen())
                         .with("upstream", start.upstream().id())
+                        .with("incarnation", start.upstream().incarnation())
                         .with("zone", start.upstream().zone())
+                        .with("parts", promptParts(start.work().generation()))
                         .with("config", version)
                         .with("reason", start.reason());
         if (start.copyHolder() != null) {
@@ -50,6 +55,18 @@
         LOG.infov("placed", fields);
     }
 
+    /**
+     * Logs that the first output of an attempt has arrived. An attempt without this line ended
+     * before its engine began to write the answer.
+     *
+     * @param work the request
+     * @param attempt number of the attempt
+     * @param nowNanos current time
+     */
+    public void outputStarted(Work work, int attempt, long nowNanos) {
+        LOG.infov("output started", requestFields(work, nowNanos).with("attempt", attempt));
+    }
+
     /**
      * Logs that an attempt ended without its response being delivered.
      *
@@ -228,6 +245,16 @@
         LOG.infov("instance " + what, new Fields().with("reason", reason));
     }
 
+    /** Returns the identifiers of the parts of a prompt in order, or null for a plain call. */
+    private static @Nullable String promptParts(@Nullable GenerationShape generation) {
+        if (generation == null) {
+            return null;
+        }
+        return generation.parts().stream()
+                .map(part -> Long.toHexString(part.id()))
+                .collect(Collectors.joining(","));
+    }
+
     private static Fields requestFields(Work work, long nowNanos) {
         return new Fields()
                 .with("request", work.requestId())
