Keep repeated reports of an engine loss once

Every instance repeats its recent engine losses with each message, up to 50 a second for 1.5 s, and each repetition was kept as a further loss of the zone. The check for the failure of a zone takes the cube of their number. A test with four instances that exchange reports each 20 ms did not end within ten minutes; a stack trace showed ZoneLosses.isZoneFailure. Losses of an engine within a quarter of the window are now one. ZoneLossesTest kept 100 losses for 100 reports of one loss before.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/ZoneLosses.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/ZoneLosses.java
@@ -22,6 +22,12 @@
     /** Maximum number of lost engines that do not count as the failure of the zone. */
     private static final int MAX_INDEPENDENT_LOSSES = 2;
 
+    /**
+     * Time within which two losses of an engine are reports of the same loss. Other instances
+     * repeat their reports with each message.
+     */
+    private static final long SAME_LOSS_NANOS = WINDOW_NANOS / 4;
+
     private static final long RETENTION_NANOS = 10 * WINDOW_NANOS;
 
     private final Map<String, Deque<EngineLoss>> mLost = new HashMap<>();
@@ -38,9 +44,20 @@
         while (!lost.isEmpty() && atNanos - lost.getFirst().atNanos() > RETENTION_NANOS) {
             lost.removeFirst();
         }
+        for (EngineLoss known : lost) {
+            if (known.engine() == engine
+                    && Math.abs(known.atNanos() - atNanos) <= SAME_LOSS_NANOS) {
+                return;
+            }
+        }
         lost.addLast(new EngineLoss(engine, atNanos));
     }
 
+    /** Returns the number of losses kept. */
+    int size() {
+        return mLost.values().stream().mapToInt(Deque::size).sum();
+    }
+
     /**
      * Returns whether a loss is part of a zone's failure.
      *
