--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/policy/MessageSizes.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/policy/MessageSizes.java
@@ -10,6 +10,7 @@
 import org.gentianwalk.proto.SuspectNotice;
 import org.gentianwalk.proto.TeamTotal;
 import org.gentianwalk.proto.UsageReport;
+import org.gentianwalk.server.control.SuspectCodec;
 
 /** Computes the wire size of policy messages from their protobuf encoding. */
 final class MessageSizes {
@@ -73,13 +74,7 @@
     private static int notice(PolicyMessage.SuspectNotice notice) {
         SuspectNotice.Builder builder = SuspectNotice.newBuilder();
         for (SuspectEntry entry : notice.entries()) {
-            builder.addEntries(
-                    org.gentianwalk.proto.SuspectEntry.newBuilder()
-                            .setFingerprintHigh(entry.fingerprint().high())
-                            .setFingerprintLow(entry.fingerprint().low())
-                            .addAllLosses(entry.losses())
-                            .setCleared(entry.cleared())
-                            .setAgeMs(entry.ageMs()));
+            builder.addEntries(SuspectCodec.encode(entry));
         }
         return builder.build().getSerializedSize();
     }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
@@ -40,6 +40,12 @@
      */
     private static final long WIDE_REGION_COST_NANOS = Duration.ofMillis(900).toNanos();
 
+    /**
+     * Cost of an engine at which a generation that has lost an engine before is still in prefill.
+     * Apart from others, it loses no engine through them, and they lose none through it.
+     */
+    private static final long SUSPECT_COST_NANOS = Duration.ofSeconds(2).toNanos();
+
     private static final long TIE_COST_NANOS = Duration.ofMillis(10).toNanos();
 
     /** Cost of full KV cache memory, as an equivalent backlog; spreads the load. */
@@ -121,6 +127,7 @@
                             + memory * MEMORY_COST_NANOS
                             + distanceCost(engine)
                             + ringCost * ringDistance(i, usable.size())
+                            + (engine.hasSuspect() ? SUSPECT_COST_NANOS : 0)
                             + TIE_COST_NANOS * mRandom.nextDouble();
             if (best == null || cost < bestCost) {
                 best = engine;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineState.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineState.java
@@ -45,8 +45,19 @@
      * @param memory KV cache memory, tokens
      * @param prefilling true until the first output
      * @param copy true for a copy of a generation that runs elsewhere
+     * @param suspect true until the first output of a generation that has lost an engine before
      */
-    record Load(long startedNanos, int prompt, int memory, boolean prefilling, boolean copy) {}
+    record Load(
+            long startedNanos,
+            int prompt,
+            int memory,
+            boolean prefilling,
+            boolean copy,
+            boolean suspect) {
+        static Load copy(long startedNanos, int memory) {
+            return new Load(startedNanos, 0, memory, false, true, false);
+        }
+    }
 
     private record Prefill(long startedNanos, int prompt) {}
 
@@ -105,6 +116,11 @@
         return responded || isAliveSince(mCheckedAt);
     }
 
+    /** Returns whether the last liveness check started at or after a time. */
+    boolean isCheckedSince(long nanos) {
+        return mHasCheck && mCheckedAt - nanos >= 0;
+    }
+
     /** Records that the process has ended although it is still listed. */
     void markEnded() {
         mEnded = true;
@@ -169,6 +185,11 @@
         return running;
     }
 
+    /** Returns whether a generation may be about to crash the engine. */
+    boolean hasSuspect() {
+        return allLoads().stream().anyMatch(Load::suspect);
+    }
+
     /** Returns the number of generations in the decoding phase. */
     int decoding() {
         int decoding = 0;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineView.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineView.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.gentianwalk.core.policy.suspect.SuspectTable;
 import org.gentianwalk.core.policy.suspect.ZoneLosses;
 import org.jspecify.annotations.Nullable;
 
@@ -24,6 +25,7 @@
     /** Time for which a failure is reported to other instances. */
     private static final long FAILURE_REPORT_NANOS = Duration.ofMillis(1_500).toNanos();
 
+    private final SuspectTable mSuspects;
     private final Map<String, EngineState> mEngines = new LinkedHashMap<>();
     private final ZoneLosses mZoneFailures = new ZoneLosses();
     private final ZoneLosses mZoneSilences = new ZoneLosses();
@@ -35,6 +37,10 @@
 
     private record ReceivedLoad(InstanceLoad load, long atNanos) {}
 
+    EngineView(SuspectTable suspects) {
+        mSuspects = suspects;
+    }
+
     /** Replaces the engines and returns those whose process is known to have ended. */
     List<EngineState> replaceEngines(Collection<Upstream> upstreams, long nowNanos) {
         List<EngineState> ended = new ArrayList<>();
@@ -52,6 +58,7 @@
                 ended.add(known);
             }
             mEngines.put(upstream.id(), new EngineState(upstream, nowNanos));
+            mSuspects.registerEngine(upstream.process(), upstream.zone());
         }
         for (EngineState engine : List.copyOf(mEngines.values())) {
             Upstream upstream = engine.upstream();
@@ -145,6 +152,7 @@
         int id = engine.upstream().id().hashCode();
         engine.reachability().recordFailure(atNanos);
         mZoneFailures.recordLoss(zone, id, atNanos);
+        mSuspects.recordEngineLoss(engine.upstream().process(), atNanos);
         if (silent) {
             engine.recordSilence(atNanos);
             mZoneSilences.recordLoss(zone, id, atNanos);
@@ -250,10 +258,15 @@
             loads.computeIfAbsent(run.engine(), id -> new ArrayList<>())
                     .add(
                             new EngineState.Load(
-                                    started, run.prompt(), run.memory(), run.prefilling(), false));
+                                    started,
+                                    run.prompt(),
+                                    run.memory(),
+                                    run.prefilling(),
+                                    false,
+                                    run.suspect()));
             if (!run.copyHolder().isEmpty()) {
                 loads.computeIfAbsent(run.copyHolder(), id -> new ArrayList<>())
-                        .add(new EngineState.Load(started, 0, run.memory(), false, true));
+                        .add(EngineState.Load.copy(started, run.memory()));
             }
         }
         for (EngineState engine : mEngines.values()) {
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/GenerationLoad.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/GenerationLoad.java
@@ -11,6 +11,7 @@
  * @param ageMillis time since it was sent to the engine, milliseconds
  * @param prefilling true until its first output
  * @param copyHolder identifier of the engine that keeps a copy of its KV cache; empty for none
+ * @param suspect true when it has lost an engine before its first output, and has had none since
  */
 public record GenerationLoad(
         String engine,
@@ -19,4 +20,5 @@
         int memory,
         int ageMillis,
         boolean prefilling,
-        String copyHolder) {}
+        String copyHolder,
+        boolean suspect) {}
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/InstanceLoad.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/InstanceLoad.java
@@ -1,6 +1,7 @@
 package org.gentianwalk.core.dispatch;
 
 import java.util.List;
+import org.gentianwalk.core.policy.suspect.SuspectEntry;
 
 /**
  * Load of one instance at the engines of a service and in its own queue. Each report is complete,
@@ -12,6 +13,7 @@
  * @param waiting prompt tokens of the generations queued in the instance
  * @param failures engines that recently failed a request of this instance
  * @param usage requests and retries of the instance, for the retry budget
+ * @param suspects requests and prompt parts under which engines were lost
  */
 public record InstanceLoad(
         String service,
@@ -19,10 +21,12 @@
         List<GenerationLoad> runs,
         int waiting,
         List<EngineFailure> failures,
-        FleetRetryBudget.Usage usage) {
+        FleetRetryBudget.Usage usage,
+        List<SuspectEntry> suspects) {
     public InstanceLoad {
         runs = List.copyOf(runs);
         failures = List.copyOf(failures);
+        suspects = List.copyOf(suspects);
     }
 
     /**
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossDetector.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossDetector.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import org.gentianwalk.core.dispatch.LivenessAware.LivenessCheck;
 import org.gentianwalk.core.model.Location.Distance;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Detects attempts that are lost although their connections are still open. Missing output makes an
@@ -83,15 +84,13 @@
         return checks;
     }
 
-    /** Records the result of a check. */
-    void recordCheck(Upstream upstream, boolean responded, long nowNanos) {
+    /** Records the result of a check, and returns the engine that was checked. */
+    @Nullable EngineState recordCheck(Upstream upstream, boolean responded, long nowNanos) {
         EngineState engine = mPendingChecks.remove(upstream);
-        if (engine == null) {
-            return;
-        }
-        if (!engine.endCheck(responded, nowNanos)) {
+        if (engine != null && !engine.endCheck(responded, nowNanos)) {
             mEngineView.recordFailure(engine, true, nowNanos);
         }
+        return engine;
     }
 
     Diagnosis diagnose(StreamRun run, long nowNanos) {
@@ -134,7 +133,8 @@
         return stalled ? Diagnosis.STALLED : Diagnosis.SOUND;
     }
 
-    private void requestCheck(EngineState engine, long nowNanos) {
+    /** Requests a check of an engine unless one is in progress or recent. */
+    void requestCheck(EngineState engine, long nowNanos) {
         if (!engine.startCheck(nowNanos, CHECK_INTERVAL_NANOS)) {
             return;
         }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamRun.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamRun.java
@@ -8,10 +8,12 @@
     private final int mPromptTokens;
     private final int mMemory;
     private final long mPart;
+    private final SuspectSubject mSubject;
     private int mAttempt;
     private int mRejections;
     private int mExecutions;
     private boolean mInterrupted;
+    private boolean mSuspect;
     private String mPreviousEnd = "";
     private long mCacheWaitUntil;
     private boolean mCacheWait;
@@ -32,6 +34,7 @@
         mPromptTokens = shape == null ? 0 : shape.promptTokens();
         mMemory = shape == null ? 0 : shape.promptTokens() + shape.expectedOutputTokens();
         mPart = shape == null || shape.parts().isEmpty() ? 0 : shape.parts().getLast().id();
+        mSubject = SuspectSubject.of(shape);
         mInterrupted = work.eventsSeen() > 0;
     }
 
@@ -53,6 +56,19 @@
         return mPart;
     }
 
+    /** Returns what the loss of an engine may be attributed to. */
+    SuspectSubject subject() {
+        return mSubject;
+    }
+
+    /**
+     * Returns whether an engine was lost before the output of an attempt, and no output has
+     * followed.
+     */
+    boolean isSuspect() {
+        return mSuspect;
+    }
+
     int attempt() {
         return mAttempt;
     }
@@ -122,8 +138,7 @@
         mHasOutput = false;
         engine.putLoad(mWork.id(), load(true));
         if (copyHolder != null) {
-            copyHolder.putLoad(
-                    -mWork.id(), new EngineState.Load(nowNanos, 0, mMemory, false, true));
+            copyHolder.putLoad(-mWork.id(), EngineState.Load.copy(nowNanos, mMemory));
         }
     }
 
@@ -134,6 +149,7 @@
             return false;
         }
         mHasOutput = true;
+        mSuspect = false;
         mEngine.putLoad(mWork.id(), load(false));
         return true;
     }
@@ -176,6 +192,7 @@
         } else if (!end.isNotExecuted()) {
             mExecutions++;
             mInterrupted |= mHasOutput;
+            mSuspect |= !mHasOutput;
         }
     }
 
@@ -189,10 +206,12 @@
                 mMemory,
                 (int) ((nowNanos - mStartedAt) / EngineState.NANOS_PER_MILLI),
                 !mHasOutput,
-                copyHolder == null ? "" : copyHolder.upstream().id());
+                copyHolder == null ? "" : copyHolder.upstream().id(),
+                mSuspect);
     }
 
     private EngineState.Load load(boolean prefilling) {
-        return new EngineState.Load(mStartedAt, mPrefillTokens, mMemory, prefilling, false);
+        return new EngineState.Load(
+                mStartedAt, mPrefillTokens, mMemory, prefilling, false, mSuspect);
     }
 }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -10,6 +10,9 @@
 import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.gentianwalk.core.dispatch.Decision.Ending;
+import org.gentianwalk.core.policy.PolicyOptions;
+import org.gentianwalk.core.policy.suspect.SuspectTable;
+import org.gentianwalk.core.policy.suspect.SuspectTable.Verdict;
 import org.gentianwalk.core.route.EngineSpec;
 import org.jspecify.annotations.Nullable;
 
@@ -27,6 +30,14 @@
     /** Retry-after when no engine is usable or no retry is allowed. */
     private static final Duration NO_ENGINE_RETRY = Duration.ofMillis(500);
 
+    /** Retry-after of a request that would crash an engine; it has to be changed first. */
+    private static final Duration CONVICTED_RETRY = Duration.ofMinutes(1);
+
+    /** Time for which evidence is reported; covers the repetition of lost reports. */
+    private static final long SUSPECT_REPORT_NANOS = Duration.ofMillis(2_500).toNanos();
+
+    private static final int MAX_SUSPECTS_REPORTED = 16;
+
     /** Maximum number of rejections by engines before a generation is refused. */
     private static final int MAX_REJECTIONS = 8;
 
@@ -52,7 +63,9 @@
     private final String mService;
     private final FleetRetryBudget mRetries;
     private final EngineSpeed mSpeed = new EngineSpeed();
-    private final EngineView mEngineView = new EngineView();
+    private final SuspectTable mSuspects = new SuspectTable(PolicyOptions.defaults().retry());
+    private final EngineView mEngineView = new EngineView(mSuspects);
+    private final LossEvidence mEvidence = new LossEvidence(mSuspects);
     private final EngineSelector mSelector;
     private final LossDetector mLossDetector;
     private final Map<Long, StreamRun> mRuns = new HashMap<>();
@@ -89,6 +102,7 @@
     @Override
     public void replaceUpstreams(Collection<Upstream> upstreams, long nowNanos) {
         for (EngineState ended : mEngineView.replaceEngines(upstreams, nowNanos)) {
+            ended.markEnded();
             endAttempts(ended, nowNanos);
         }
         dispatch(nowNanos);
@@ -157,6 +171,7 @@
                 mSpeed.recordPrefill(run.prefillTokens(), progress.lastNanos() - run.startedAt());
             }
             mEngineView.recordCachedPart(run.part(), engine.upstream().id());
+            mEvidence.recordOutput(run.subject(), progress.lastNanos());
             mLoadChanges++;
             dispatch(progress.lastNanos());
         }
@@ -184,6 +199,9 @@
             }
             default -> mEngineView.recordFailure(engine, false, nowNanos);
         }
+        if (end == AttemptEnd.RESET) {
+            recordLoss(run, engine, true, nowNanos);
+        }
         endAttempt(run, end, end.name().toLowerCase(Locale.ROOT), nowNanos);
     }
 
@@ -196,10 +214,18 @@
         }
         if (diagnosis == LossDetector.Diagnosis.STALLED) {
             engine.reachability().recordFailure(nowNanos);
+        } else {
+            recordLoss(run, engine, false, nowNanos);
         }
         endAttempt(run, AttemptEnd.SILENT, diagnosis.name().toLowerCase(Locale.ROOT), nowNanos);
     }
 
+    private void recordLoss(StreamRun run, EngineState engine, boolean closed, long nowNanos) {
+        if (!run.hasOutput()) {
+            mEvidence.recordLoss(engine, run.subject(), closed, nowNanos);
+        }
+    }
+
     private void endAttempt(StreamRun run, AttemptEnd end, String cause, long nowNanos) {
         EngineState copyHolder = usableCopyHolder(run, end, nowNanos);
         run.recordEnd(end, cause);
@@ -236,6 +262,10 @@
 
     @Override
     public List<Decision> advance(long nowNanos) {
+        mEvidence.enginesToCheck().forEach(engine -> mLossDetector.requestCheck(engine, nowNanos));
+        if (mEvidence.advance(nowNanos)) {
+            mLoadChanges++;
+        }
         for (StreamRun run : List.copyOf(mRuns.values())) {
             if (nowNanos - run.work().deadlineNanos() >= 0) {
                 boolean notExecuted = run.engine() == null && run.executions() == 0;
@@ -244,6 +274,8 @@
                         notExecuted ? Ending.REFUSED : Ending.TIMED_OUT,
                         Duration.ZERO,
                         "deadline exceeded");
+            } else if (!run.hasOutput() && verdict(run, nowNanos) == Verdict.CONVICTED) {
+                refuseConvicted(run);
             } else {
                 endIfLost(run, nowNanos);
             }
@@ -271,7 +303,10 @@
 
     @Override
     public void recordLivenessCheck(Upstream engine, boolean responded, long nowNanos) {
-        mLossDetector.recordCheck(engine, responded, nowNanos);
+        EngineState checked = mLossDetector.recordCheck(engine, responded, nowNanos);
+        if (checked != null && mEvidence.recordCheck(checked, responded)) {
+            mLoadChanges++;
+        }
     }
 
     @Override
@@ -291,7 +326,8 @@
                 runs,
                 waiting,
                 mEngineView.recentFailures(nowNanos),
-                mRetries.usage(nowNanos));
+                mRetries.usage(nowNanos),
+                mSuspects.entries(SUSPECT_REPORT_NANOS, MAX_SUSPECTS_REPORTED, nowNanos));
     }
 
     @Override
@@ -303,6 +339,7 @@
     public void recordPeerLoad(String instance, InstanceLoad load, long nowNanos) {
         mEngineView.recordPeerLoad(instance, load, nowNanos);
         mRetries.recordPeerUsage(instance, load.usage());
+        mSuspects.merge(load.suspects(), nowNanos);
     }
 
     @Override
@@ -316,6 +353,7 @@
     private void endAttempts(EngineState engine, long nowNanos) {
         for (StreamRun run : List.copyOf(mRuns.values())) {
             if (run.engine() == engine) {
+                recordLoss(run, engine, true, nowNanos);
                 endAttempt(run, AttemptEnd.RESET, "engine restart listed", nowNanos);
             }
         }
@@ -357,6 +395,14 @@
             if (run.isInCacheWait(nowNanos)) {
                 continue;
             }
+            Verdict verdict = verdict(run, nowNanos);
+            if (verdict == Verdict.CONVICTED) {
+                refuseConvicted(run);
+                continue;
+            }
+            if (verdict == Verdict.PENDING) {
+                continue;
+            }
             EngineState engine = mSelector.select(run, nowNanos);
             if (engine != null) {
                 mWaiting.remove(run);
@@ -368,6 +414,20 @@
         }
     }
 
+    private Verdict verdict(StreamRun run, long nowNanos) {
+        return mEvidence.verdict(run.subject(), nowNanos);
+    }
+
+    /** Ends a request that would crash an engine. */
+    private void refuseConvicted(StreamRun run) {
+        boolean notExecuted = run.engine() == null && run.executions() == 0;
+        finish(
+                run,
+                notExecuted ? Ending.REFUSED : Ending.UNKNOWN,
+                CONVICTED_RETRY,
+                "engines were lost under the same request or prompt part");
+    }
+
     private void start(
             StreamRun run,
             EngineState engine,
--- /dev/null
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/SuspectSubject.java
@@ -0,0 +1,38 @@
+package org.gentianwalk.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.gentianwalk.core.model.Fingerprint;
+import org.gentianwalk.core.policy.routing.Rendezvous;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What a lost engine may be attributed to: a request, or a part of its prompt that other requests
+ * may share.
+ *
+ * @param request fingerprint of the request, from the last part of its prompt
+ * @param parts fingerprints of the other parts
+ * @param isKnown false when the prompt has no parts, so that nothing can be attributed
+ */
+record SuspectSubject(Fingerprint request, List<Fingerprint> parts, boolean isKnown) {
+    private static final SuspectSubject UNKNOWN =
+            new SuspectSubject(new Fingerprint(0, 0), List.of(), false);
+
+    SuspectSubject {
+        parts = List.copyOf(parts);
+    }
+
+    static SuspectSubject of(@Nullable GenerationShape shape) {
+        if (shape == null || shape.parts().isEmpty()) {
+            return UNKNOWN;
+        }
+        long model = Rendezvous.hash(shape.model());
+        List<Fingerprint> parts = new ArrayList<>();
+        for (PromptPart part : shape.parts().subList(0, shape.parts().size() - 1)) {
+            parts.add(new Fingerprint(model, part.id()));
+        }
+        // The last part of one prompt may be an inner part of another one.
+        Fingerprint request = new Fingerprint(~model, shape.parts().getLast().id());
+        return new SuspectSubject(request, parts, true);
+    }
+}
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/Upstream.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/Upstream.java
@@ -29,6 +29,15 @@
         }
     }
 
+    /**
+     * Returns an identifier of the process, which changes with each restart.
+     *
+     * @return identifier and incarnation
+     */
+    public String process() {
+        return id + '@' + incarnation;
+    }
+
     /**
      * Returns whether another entry describes the same process.
      *
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/PeerExchange.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/PeerExchange.java
@@ -181,19 +181,16 @@
 
     private void addSuspectNotices(List<Addressed> messages, long nowNanos) {
         for (SuspectEntry entry : mSuspects.drainChanges(nowNanos)) {
-            long changedAt = nowNanos - entry.ageMs() * NANOS_PER_MILLI;
             mPendingChanges.put(
-                    entry.fingerprint(), new PendingChange(entry, changedAt, gossipRounds()));
+                    entry.fingerprint(), new PendingChange(entry, nowNanos, gossipRounds()));
         }
         if (mPendingChanges.isEmpty()) {
             return;
         }
         List<SuspectEntry> entries = new ArrayList<>();
         for (PendingChange change : mPendingChanges.values()) {
-            int age = (int) ((nowNanos - change.mChangedAt) / NANOS_PER_MILLI);
-            SuspectEntry entry = change.mEntry;
-            entries.add(
-                    new SuspectEntry(entry.fingerprint(), entry.losses(), entry.cleared(), age));
+            int delay = (int) ((nowNanos - change.mDrainedAt) / NANOS_PER_MILLI);
+            entries.add(change.mEntry.agedBy(delay));
             change.mRoundsLeft--;
         }
         mPendingChanges.values().removeIf(change -> change.mRoundsLeft <= 0);
@@ -224,12 +221,12 @@
     /** A change of a suspect and the gossip rounds that still send it. */
     private static final class PendingChange {
         final SuspectEntry mEntry;
-        final long mChangedAt;
+        final long mDrainedAt;
         int mRoundsLeft;
 
-        PendingChange(SuspectEntry entry, long changedAt, int rounds) {
+        PendingChange(SuspectEntry entry, long drainedAt, int rounds) {
             mEntry = entry;
-            mChangedAt = changedAt;
+            mDrainedAt = drainedAt;
             mRoundsLeft = rounds;
         }
     }
--- /dev/null
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/Suspect.java
@@ -0,0 +1,165 @@
+package org.gentianwalk.core.policy.suspect;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.gentianwalk.core.model.Fingerprint;
+import org.jspecify.annotations.Nullable;
+
+/** Evidence against one request or one prompt part: the engines lost since it last succeeded. */
+final class Suspect {
+    /** Time within which two losses of the same engine are the same loss, nanoseconds. */
+    private static final long SAME_LOSS_NANOS = 5_000_000_000L;
+
+    /** Losses kept; further ones do not change a verdict. */
+    private static final int MAX_LOSSES = 32;
+
+    private static final int ENGINE_SHIFT = 32;
+
+    private final Fingerprint mFingerprint;
+    private final boolean mPart;
+    private final List<Loss> mLosses = new ArrayList<>(2);
+    private @Nullable Long mClearedAt;
+    private @Nullable Long mConvictedAt;
+    private long mChangedAt;
+    private @Nullable Long mObservedAt;
+
+    Suspect(Fingerprint fingerprint, boolean part, long nowNanos) {
+        mFingerprint = fingerprint;
+        mPart = part;
+        mChangedAt = nowNanos;
+    }
+
+    /**
+     * A loss of an engine.
+     *
+     * @param id identifier of the loss; the upper 32 bits are the hash of the engine's identifier
+     * @param request hash of the request that was running there
+     * @param atNanos time of the loss
+     */
+    record Loss(long id, int request, long atNanos) {
+        int engine() {
+            return (int) (id >> ENGINE_SHIFT);
+        }
+
+        boolean isSameEvent(Loss other) {
+            return id == other.id
+                    || engine() == other.engine()
+                            && request == other.request
+                            && Math.abs(atNanos - other.atNanos) < SAME_LOSS_NANOS;
+        }
+    }
+
+    static long lossId(int engine, int sequence) {
+        return ((long) engine << ENGINE_SHIFT) | (sequence & 0xffffffffL);
+    }
+
+    Fingerprint fingerprint() {
+        return mFingerprint;
+    }
+
+    boolean isPart() {
+        return mPart;
+    }
+
+    List<Loss> losses() {
+        return mLosses;
+    }
+
+    @Nullable Long clearedAt() {
+        return mClearedAt;
+    }
+
+    long changedAt() {
+        return mChangedAt;
+    }
+
+    /** Records that the latest change was observed by this instance itself. */
+    void recordObservation(long nowNanos) {
+        mObservedAt = nowNanos;
+    }
+
+    boolean isObservedSince(long nanos) {
+        return mObservedAt != null && mObservedAt - nanos >= 0;
+    }
+
+    boolean isConvicted() {
+        return mConvictedAt != null;
+    }
+
+    @Nullable Long convictedAt() {
+        return mConvictedAt;
+    }
+
+    void convict(long nowNanos) {
+        mConvictedAt = nowNanos;
+        mChangedAt = nowNanos;
+    }
+
+    /** Adds a loss and returns whether the evidence has changed. */
+    boolean addLoss(Loss loss) {
+        boolean obsolete = mClearedAt != null && loss.atNanos() - mClearedAt <= 0;
+        if (obsolete
+                || mLosses.size() >= MAX_LOSSES
+                || mLosses.stream().anyMatch(loss::isSameEvent)) {
+            return false;
+        }
+        mLosses.add(loss);
+        mLosses.sort(Comparator.comparingLong(Loss::atNanos));
+        recordChange(loss.atNanos());
+        return true;
+    }
+
+    /** Drops the losses before a success and returns whether the evidence has changed. */
+    boolean clear(long atNanos) {
+        if (mClearedAt != null && mClearedAt - atNanos >= 0) {
+            return false;
+        }
+        mClearedAt = atNanos;
+        mLosses.removeIf(loss -> loss.atNanos() - atNanos <= 0);
+        mConvictedAt = null;
+        recordChange(atNanos);
+        return true;
+    }
+
+    private void recordChange(long atNanos) {
+        if (atNanos - mChangedAt > 0) {
+            mChangedAt = atNanos;
+        }
+    }
+
+    /**
+     * Counts the losses that are older than a time and separated from the previous counted one.
+     * Engines that are lost together are a single event.
+     */
+    int countEvents(long gapNanos, long beforeNanos) {
+        int events = 0;
+        long last = 0;
+        for (Loss loss : mLosses) {
+            boolean separate = events == 0 || loss.atNanos() - last >= gapNanos;
+            if (separate && loss.atNanos() - beforeNanos <= 0) {
+                events++;
+                last = loss.atNanos();
+            }
+        }
+        return events;
+    }
+
+    int countRequests() {
+        Set<Integer> requests = new HashSet<>();
+        mLosses.forEach(loss -> requests.add(loss.request()));
+        return requests.size();
+    }
+
+    /** Returns whether all losses of this suspect are also losses of another one. */
+    boolean isExplainedBy(Suspect other) {
+        for (Loss loss : mLosses) {
+            if (other.mLosses.stream().noneMatch(loss::isSameEvent)) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/SuspectTable.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/SuspectTable.java
@@ -1,36 +1,55 @@
 package org.gentianwalk.core.policy.suspect;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import org.gentianwalk.core.model.Fingerprint;
 import org.gentianwalk.core.policy.PolicyOptions;
 import org.gentianwalk.core.policy.routing.Rendezvous;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Tracks requests that were running on lost engines, to stop those that crash the engines. A loss
- * is pending for one second, in which a failure of the whole zone would show, and then counts. Two
- * counted losses convict a request, which is then not run again. The state of instances can be
- * merged in any order.
+ * Tracks what was running on lost engines, to stop what crashes the engines: single requests, and
+ * parts of prompts that many requests share. The state of instances can be merged in any order.
+ *
+ * <p>A loss is pending for one second, in which a failure of the whole zone or a success elsewhere
+ * would show, and then counts. Two counted losses convict a request, which is then not run again.
+ *
+ * <p>A part is convicted by three separate losses under at least two requests without a success of
+ * any request with the part in between. Requests with a crashing part usually share other parts as
+ * well. A part all of whose losses are also losses of another part therefore only counts against
+ * requests that have both.
  */
 public final class SuspectTable {
     /** Number of losses that convict a request. */
     public static final int CONVICTING_LOSSES = 2;
 
-    /** Time within which two losses of the same engine are the same loss, nanoseconds. */
-    private static final long SAME_LOSS_NANOS = 5_000_000_000L;
+    /** Number of separate losses that convict a part. */
+    static final int CONVICTING_PART_LOSSES = 3;
+
+    /** Number of requests whose losses convict a part. */
+    private static final int CONVICTING_REQUESTS = 2;
+
+    /** Losses of a part within this time are one event, such as the failure of a zone. */
+    private static final long EVENT_NANOS = 500_000_000L;
+
+    /** Successes remembered, for losses that other instances report late. */
+    private static final int MAX_SUCCESSES = 4_096;
+
+    /** Engine processes whose zone is remembered. */
+    private static final int MAX_ENGINES = 65_536;
 
-    private static final int ENGINE_SHIFT = 32;
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final int INT_BITS = 32;
 
     private final PolicyOptions.Retry mOptions;
     private final ZoneLosses mZones = new ZoneLosses();
-    private final Map<Integer, String> mZoneOfEngine = new LinkedHashMap<>();
+    private final LinkedHashMap<Integer, String> mZoneOfEngine = new LinkedHashMap<>();
     private final LinkedHashMap<Fingerprint, Suspect> mSuspects = new LinkedHashMap<>();
     private final LinkedHashMap<Fingerprint, Suspect> mChanged = new LinkedHashMap<>();
+    private final LinkedHashMap<Fingerprint, Long> mSuccesses = new LinkedHashMap<>();
     private int mSequence;
 
     /**
@@ -50,6 +69,9 @@
      */
     public void registerEngine(String engine, String zone) {
         mZoneOfEngine.put(engineHash(engine), zone);
+        if (mZoneOfEngine.size() > MAX_ENGINES) {
+            mZoneOfEngine.pollFirstEntry();
+        }
     }
 
     /**
@@ -60,9 +82,26 @@
      * @param nowNanos time of the loss
      */
     public void recordLoss(Fingerprint request, String engine, long nowNanos) {
+        recordLoss(request, List.of(), engine, nowNanos);
+    }
+
+    /**
+     * Records the loss of an engine that was running a request whose prompt has parts.
+     *
+     * @param request the request
+     * @param parts the parts of its prompt that other requests may share
+     * @param engine the engine
+     * @param nowNanos time of the loss
+     */
+    public void recordLoss(
+            Fingerprint request, Collection<Fingerprint> parts, String engine, long nowNanos) {
         int hash = engineHash(engine);
-        long loss = ((long) hash << ENGINE_SHIFT) | (++mSequence & 0xffffffffL);
-        addLoss(request, loss, nowNanos);
+        long id = Suspect.lossId(hash, ++mSequence);
+        Suspect.Loss loss = new Suspect.Loss(id, requestHash(request), nowNanos);
+        addLoss(request, false, loss).recordObservation(nowNanos);
+        for (Fingerprint part : parts) {
+            addLoss(part, true, loss).recordObservation(nowNanos);
+        }
     }
 
     /**
@@ -77,40 +116,113 @@
     }
 
     /**
-     * Clears a request that finished, unless it is convicted.
+     * Clears a request that succeeded, unless it is convicted, or a part of its prompt.
      *
-     * @param request the request
+     * @param fingerprint the request or the part
      * @param nowNanos current time
      */
-    public void clear(Fingerprint request, long nowNanos) {
-        Suspect suspect = mSuspects.get(request);
-        if (suspect != null && !suspect.isConvicted()) {
-            suspect.mLosses.clear();
-            suspect.mCleared = true;
-            recordChange(request, suspect, nowNanos);
+    public void clear(Fingerprint fingerprint, long nowNanos) {
+        mSuccesses.remove(fingerprint);
+        mSuccesses.put(fingerprint, nowNanos);
+        if (mSuccesses.size() > MAX_SUCCESSES) {
+            mSuccesses.pollFirstEntry();
+        }
+        Suspect suspect = mSuspects.get(fingerprint);
+        if (suspect != null && !suspect.losses().isEmpty()) {
+            clear(suspect, nowNanos);
+            suspect.recordObservation(nowNanos);
+        }
+    }
+
+    private void clear(Suspect suspect, long atNanos) {
+        boolean revocable = suspect.isPart() || !suspect.isConvicted();
+        if (revocable && suspect.clear(atNanos)) {
+            mChanged.put(suspect.fingerprint(), suspect);
         }
     }
 
     /**
-     * Returns the verdict on a request.
+     * Returns the verdict on a request without prompt parts.
      *
      * @param request the request
      * @param nowNanos current time
      * @return its verdict
      */
     public Verdict verdict(Fingerprint request, long nowNanos) {
+        return verdict(request, List.of(), nowNanos);
+    }
+
+    /**
+     * Returns the verdict on a request.
+     *
+     * @param request the request
+     * @param parts the parts of its prompt that other requests may share
+     * @param nowNanos current time
+     * @return the most severe verdict on the request itself and on its parts
+     */
+    public Verdict verdict(Fingerprint request, Collection<Fingerprint> parts, long nowNanos) {
+        if (mSuspects.isEmpty()) {
+            return Verdict.UNKNOWN;
+        }
+        Verdict verdict = requestVerdict(request, nowNanos);
+        for (Fingerprint part : parts) {
+            Verdict partVerdict = partVerdict(part, parts, nowNanos);
+            if (partVerdict.compareTo(verdict) > 0) {
+                verdict = partVerdict;
+            }
+        }
+        return verdict;
+    }
+
+    private Verdict requestVerdict(Fingerprint request, long nowNanos) {
         Suspect suspect = mSuspects.get(request);
-        if (suspect == null || isExpired(suspect, nowNanos)) {
+        if (suspect == null || suspect.isPart() || isExpired(suspect, nowNanos)) {
             return Verdict.UNKNOWN;
         }
-        evaluate(request, suspect, nowNanos);
+        evaluate(suspect, nowNanos);
         if (suspect.isConvicted()) {
             return Verdict.CONVICTED;
         }
-        if (suspect.mLosses.isEmpty()) {
+        if (suspect.losses().isEmpty()) {
+            return Verdict.UNKNOWN;
+        }
+        return suspect.losses().size() >= CONVICTING_LOSSES ? Verdict.PENDING : Verdict.SUSPECT;
+    }
+
+    private Verdict partVerdict(Fingerprint part, Collection<Fingerprint> parts, long nowNanos) {
+        Suspect suspect = mSuspects.get(part);
+        if (suspect == null
+                || !suspect.isPart()
+                || suspect.countRequests() < CONVICTING_REQUESTS
+                || isExpired(suspect, nowNanos)
+                || isExplainedByAbsentPart(suspect, parts)) {
             return Verdict.UNKNOWN;
         }
-        return suspect.mLosses.size() >= CONVICTING_LOSSES ? Verdict.PENDING : Verdict.SUSPECT;
+        if (suspect.countEvents(EVENT_NANOS, nowNanos) < CONVICTING_PART_LOSSES) {
+            return Verdict.SUSPECT;
+        }
+        long settled = nowNanos - ZoneLosses.WINDOW_NANOS;
+        if (!suspect.isConvicted()
+                && suspect.countEvents(EVENT_NANOS, settled) < CONVICTING_PART_LOSSES) {
+            return Verdict.PENDING;
+        }
+        if (!suspect.isConvicted()) {
+            suspect.convict(nowNanos);
+            mChanged.put(part, suspect);
+        }
+        return Verdict.CONVICTED;
+    }
+
+    /** Returns whether a part that a request does not have was present at all losses of a part. */
+    private boolean isExplainedByAbsentPart(Suspect part, Collection<Fingerprint> present) {
+        for (Suspect other : mSuspects.values()) {
+            if (other.isPart()
+                    && !present.contains(other.fingerprint())
+                    && part.isExplainedBy(other)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /**
@@ -121,7 +233,7 @@
      */
     public @Nullable Long changedAt(Fingerprint request) {
         Suspect suspect = mSuspects.get(request);
-        return suspect == null ? null : suspect.mChangedAt;
+        return suspect == null ? null : suspect.changedAt();
     }
 
     /**
@@ -132,21 +244,16 @@
      */
     public void merge(List<SuspectEntry> entries, long nowNanos) {
         for (SuspectEntry entry : entries) {
-            long at = nowNanos - entry.ageMs() * NANOS_PER_MILLI;
             Suspect known = mSuspects.get(entry.fingerprint());
-            if (entry.cleared()) {
-                if (known != null && !known.isConvicted() && known.mChangedAt < at) {
-                    known.mLosses.clear();
-                    known.mCleared = true;
-                    recordChange(entry.fingerprint(), known, at);
-                }
-                continue;
-            }
-            if (known != null && known.mCleared && known.mChangedAt >= at) {
-                continue;
+            if (entry.isCleared() && known != null) {
+                clear(known, nowNanos - entry.clearedAgeMs() * NANOS_PER_MILLI);
             }
-            for (long loss : entry.losses()) {
-                addLoss(entry.fingerprint(), loss, at);
+            for (SuspectEntry.LossEntry loss : entry.losses()) {
+                long at = nowNanos - loss.ageMs() * NANOS_PER_MILLI;
+                addLoss(
+                        entry.fingerprint(),
+                        entry.part(),
+                        new Suspect.Loss(loss.id(), loss.request(), at));
             }
         }
     }
@@ -159,17 +266,53 @@
      */
     public List<SuspectEntry> drainChanges(long nowNanos) {
         List<SuspectEntry> changes = new ArrayList<>();
-        mChanged.forEach(
-                (request, suspect) -> {
-                    List<Long> losses = new ArrayList<>();
-                    suspect.mLosses.forEach(loss -> losses.add(loss.id()));
-                    int age = (int) Math.max(0, (nowNanos - suspect.mChangedAt) / NANOS_PER_MILLI);
-                    changes.add(new SuspectEntry(request, losses, suspect.mCleared, age));
-                });
+        mChanged.values().forEach(suspect -> changes.add(entry(suspect, nowNanos)));
         mChanged.clear();
         return changes;
     }
 
+    /**
+     * Returns what this instance has observed lately, and the convictions, which another instance
+     * may lack because it was started later.
+     *
+     * @param maxAgeNanos age up to which observations are included
+     * @param maxEntries maximum number of entries, newest first
+     * @param nowNanos current time
+     * @return entries to send to other instances
+     */
+    public List<SuspectEntry> entries(long maxAgeNanos, int maxEntries, long nowNanos) {
+        List<Suspect> selected = new ArrayList<>();
+        for (Suspect suspect : mSuspects.values()) {
+            if (suspect.isConvicted() || suspect.isObservedSince(nowNanos - maxAgeNanos)) {
+                selected.add(suspect);
+            }
+        }
+        selected.sort((a, b) -> Long.compare(b.changedAt() - a.changedAt(), 0));
+        return selected.stream()
+                .limit(maxEntries)
+                .map(suspect -> entry(suspect, nowNanos))
+                .toList();
+    }
+
+    private static SuspectEntry entry(Suspect suspect, long nowNanos) {
+        List<SuspectEntry.LossEntry> losses = new ArrayList<>();
+        for (Suspect.Loss loss : suspect.losses()) {
+            losses.add(
+                    new SuspectEntry.LossEntry(
+                            loss.id(), loss.request(), ageMs(loss.atNanos(), nowNanos)));
+        }
+        Long cleared = suspect.clearedAt();
+        return new SuspectEntry(
+                suspect.fingerprint(),
+                suspect.isPart(),
+                losses,
+                cleared == null ? SuspectEntry.NEVER : ageMs(cleared, nowNanos));
+    }
+
+    private static int ageMs(long atNanos, long nowNanos) {
+        return (int) Math.max(0, (nowNanos - atNanos) / NANOS_PER_MILLI);
+    }
+
     /**
      * Removes expired entries.
      *
@@ -188,61 +331,57 @@
         return mSuspects.size();
     }
 
-    private void addLoss(Fingerprint request, long loss, long atNanos) {
-        int engine = (int) (loss >> ENGINE_SHIFT);
-        Suspect suspect = mSuspects.computeIfAbsent(request, key -> new Suspect());
-        for (Loss known : suspect.mLosses) {
-            boolean sameEngine = (int) (known.id() >> ENGINE_SHIFT) == engine;
-            if (known.id() == loss
-                    || sameEngine && Math.abs(known.atNanos() - atNanos) < SAME_LOSS_NANOS) {
-                return;
-            }
+    private Suspect addLoss(Fingerprint fingerprint, boolean part, Suspect.Loss loss) {
+        Suspect suspect =
+                mSuspects.computeIfAbsent(
+                        fingerprint, key -> new Suspect(key, part, loss.atNanos()));
+        Long success = mSuccesses.get(fingerprint);
+        if (success != null && loss.atNanos() - success <= 0) {
+            // The reporting instance has not received the success yet.
+            clear(suspect, success);
+            return suspect;
         }
-        mZones.recordLoss(mZoneOfEngine.getOrDefault(engine, ""), engine, atNanos);
-        if (suspect.isConvicted()) {
-            return;
+        if (!part && suspect.isConvicted() || !suspect.addLoss(loss)) {
+            return suspect;
         }
-        suspect.mCleared = false;
-        suspect.mLosses.add(new Loss(loss, atNanos));
-        recordChange(request, suspect, atNanos);
+        mZones.recordLoss(
+                mZoneOfEngine.getOrDefault(loss.engine(), ""), loss.engine(), loss.atNanos());
+        mChanged.put(fingerprint, suspect);
         enforceBound();
+        return suspect;
     }
 
     /**
      * Drops losses caused by the failure of a zone, and convicts the request when two losses are
      * older than one second.
      */
-    private void evaluate(Fingerprint request, Suspect suspect, long nowNanos) {
-        if (suspect.isConvicted()) {
+    private void evaluate(Suspect request, long nowNanos) {
+        if (request.isConvicted()) {
             return;
         }
-        suspect.mLosses.removeIf(loss -> mZones.isZoneFailure(zoneOf(loss.id()), loss.atNanos()));
+        request.losses().removeIf(loss -> mZones.isZoneFailure(zoneOf(loss), loss.atNanos()));
         int counted = 0;
-        for (Loss loss : suspect.mLosses) {
+        for (Suspect.Loss loss : request.losses()) {
             if (nowNanos - loss.atNanos() >= ZoneLosses.WINDOW_NANOS) {
                 counted++;
             }
         }
         if (counted >= CONVICTING_LOSSES) {
-            suspect.mConvictedAt = nowNanos;
-            recordChange(request, suspect, nowNanos);
+            request.convict(nowNanos);
+            mChanged.put(request.fingerprint(), request);
         }
     }
 
-    private String zoneOf(long loss) {
-        return mZoneOfEngine.getOrDefault((int) (loss >> ENGINE_SHIFT), "");
-    }
-
-    private void recordChange(Fingerprint request, Suspect suspect, long atNanos) {
-        suspect.mChangedAt = atNanos;
-        mChanged.put(request, suspect);
+    private String zoneOf(Suspect.Loss loss) {
+        return mZoneOfEngine.getOrDefault(loss.engine(), "");
     }
 
     private boolean isExpired(Suspect suspect, long nowNanos) {
-        if (suspect.mConvictedAt != null) {
-            return nowNanos - suspect.mConvictedAt > mOptions.convictionLifetime().toNanos();
+        Long convicted = suspect.convictedAt();
+        if (convicted != null) {
+            return nowNanos - convicted > mOptions.convictionLifetime().toNanos();
         }
-        return nowNanos - suspect.mChangedAt > mOptions.suspectLifetime().toNanos();
+        return nowNanos - suspect.changedAt() > mOptions.suspectLifetime().toNanos();
     }
 
     private void enforceBound() {
@@ -253,33 +392,24 @@
         }
     }
 
+    private static int requestHash(Fingerprint request) {
+        long hash = request.high() * 31 + request.low();
+        return (int) (hash ^ (hash >>> INT_BITS));
+    }
+
     private static int engineHash(String engine) {
         return (int) Rendezvous.hash(engine);
     }
 
-    /** Verdict on a request. */
+    /** Verdict on a request, in the order of severity. */
     public enum Verdict {
         /** No losses are known. */
         UNKNOWN,
-        /** One loss; it must not share an engine with another suspect. */
+        /** Too few losses; it must not share an engine with another suspect. */
         SUSPECT,
-        /** Two losses, one of them still pending; it waits. */
+        /** Enough losses, one of them still pending; it waits. */
         PENDING,
         /** It is not run again. */
         CONVICTED
     }
-
-    private record Loss(long id, long atNanos) {}
-
-    /** State of one request. */
-    private static final class Suspect {
-        final List<Loss> mLosses = new ArrayList<>(CONVICTING_LOSSES);
-        boolean mCleared;
-        long mChangedAt;
-        @Nullable Long mConvictedAt;
-
-        boolean isConvicted() {
-            return mConvictedAt != null;
-        }
-    }
 }
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/EngineStateTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/EngineStateTest.java
@@ -15,9 +15,9 @@
 
     @Test
     void promptsArePrefilledSequentially() {
-        mEngine.putLoad(1, new EngineState.Load(0, 8_000, 9_000, true, false));
+        mEngine.putLoad(1, new EngineState.Load(0, 8_000, 9_000, true, false, false));
         mEngine.replacePeerLoads(
-                "peer", List.of(new EngineState.Load(100 * MS, 4_000, 5_000, true, false)));
+                "peer", List.of(new EngineState.Load(100 * MS, 4_000, 5_000, true, false, false)));
 
         assertThat(mEngine.backlog(RATE, 200 * MS)).isEqualTo(1_300 * MS);
         assertThat(mEngine.running()).isEqualTo(2);
@@ -26,21 +26,22 @@
 
     @Test
     void anOverduePromptStillCountsAsBacklog() {
-        mEngine.putLoad(1, new EngineState.Load(0, 8_000, 9_000, true, false));
+        mEngine.putLoad(1, new EngineState.Load(0, 8_000, 9_000, true, false, false));
 
         assertThat(mEngine.backlog(RATE, 5_000 * MS)).isPositive();
     }
 
     @Test
     void decodingGenerationsAreNotBacklog() {
-        mEngine.putLoad(1, new EngineState.Load(0, 8_000, 9_000, false, false));
+        mEngine.putLoad(1, new EngineState.Load(0, 8_000, 9_000, false, false, false));
 
         assertThat(mEngine.backlog(RATE, 100 * MS)).isZero();
     }
 
     @Test
     void copiesUseMemoryButAreNotRunning() {
-        mEngine.replacePeerLoads("peer", List.of(new EngineState.Load(0, 0, 9_000, false, true)));
+        mEngine.replacePeerLoads(
+                "peer", List.of(new EngineState.Load(0, 0, 9_000, false, true, false)));
 
         assertThat(mEngine.running()).isZero();
         assertThat(mEngine.memory()).isEqualTo(9_000);
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamSchedulerTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamSchedulerTest.java
@@ -58,11 +58,13 @@
         List<GenerationLoad> runs = new ArrayList<>();
         for (Upstream engine : mEngines) {
             if (!engine.id().equals("b2")) {
-                runs.add(new GenerationLoad(engine.id(), 7, 8_000, 9_000, 0, true, ""));
+                runs.add(new GenerationLoad(engine.id(), 7, 8_000, 9_000, 0, true, "", false));
             }
         }
         mScheduler.recordPeerLoad(
-                "peer", new InstanceLoad("service", 1, runs, 0, List.of(), Samples.USAGE), 0);
+                "peer",
+                new InstanceLoad("service", 1, runs, 0, List.of(), Samples.USAGE, List.of()),
+                0);
 
         assertThat(offer(stream(1, 2, 8_000, 0), 0).upstream().id()).isEqualTo("b2");
     }
@@ -267,7 +269,8 @@
                         List.of(),
                         0,
                         List.of(new InstanceLoad.EngineFailure(first.upstream().id(), 1, 0, true)),
-                        Samples.USAGE),
+                        Samples.USAGE,
+                        List.of()),
                 400 * MS);
 
         assertThat(starts(mScheduler.advance(400 * MS)))
@@ -286,7 +289,8 @@
                         List.of(),
                         0,
                         List.of(new InstanceLoad.EngineFailure(first.upstream().id(), 1, 0, false)),
-                        Samples.USAGE),
+                        Samples.USAGE,
+                        List.of()),
                 400 * MS);
 
         assertThat(starts(mScheduler.advance(400 * MS))).isEmpty();
@@ -306,7 +310,8 @@
         }
         mScheduler.recordPeerLoad(
                 "peer",
-                new InstanceLoad("service", 1, List.of(), 0, List.of(failures), Samples.USAGE),
+                new InstanceLoad(
+                        "service", 1, List.of(), 0, List.of(failures), Samples.USAGE, List.of()),
                 10 * SECOND);
 
         for (int id = 1; id <= 8; id++) {
@@ -328,7 +333,7 @@
         }
         mScheduler.recordPeerLoad(
                 "peer",
-                new InstanceLoad("service", 1, List.of(), 0, failures, Samples.USAGE),
+                new InstanceLoad("service", 1, List.of(), 0, failures, Samples.USAGE, List.of()),
                 10 * SECOND);
         mScheduler.offer(stream(1, 2, 8_000, 10 * SECOND), 10 * SECOND);
         assertThat(mScheduler.advance(10 * SECOND)).isEmpty();
@@ -441,10 +446,13 @@
                 new InstanceLoad(
                         "service",
                         1,
-                        List.of(new GenerationLoad("c1", 1_001, 8_000, 9_000, 2_000, false, "")),
+                        List.of(
+                                new GenerationLoad(
+                                        "c1", 1_001, 8_000, 9_000, 2_000, false, "", false)),
                         0,
                         List.of(),
-                        Samples.USAGE),
+                        Samples.USAGE,
+                        List.of()),
                 0);
         Work again = stream(1, 2, 8_000, 0);
         Work resumed =
@@ -520,7 +528,7 @@
         }
         mScheduler.recordPeerLoad(
                 "peer",
-                new InstanceLoad("service", 1, List.of(), 0, failures, Samples.USAGE),
+                new InstanceLoad("service", 1, List.of(), 0, failures, Samples.USAGE, List.of()),
                 400 * MS);
 
         assertThat(starts(mScheduler.advance(400 * MS)))
@@ -551,7 +559,7 @@
         }
         mScheduler.recordPeerLoad(
                 "peer",
-                new InstanceLoad("service", 1, List.of(), 0, failures, Samples.USAGE),
+                new InstanceLoad("service", 1, List.of(), 0, failures, Samples.USAGE, List.of()),
                 400 * MS);
 
         List<Decision.Start> moved = starts(mScheduler.advance(411 * MS));
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/policy/suspect/SuspectTableTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/policy/suspect/SuspectTableTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import org.gentianwalk.core.model.Fingerprint;
 import org.gentianwalk.core.policy.Fixtures;
 import org.gentianwalk.core.policy.PolicyOptions;
@@ -12,6 +13,8 @@
     private static final long SECOND = Fixtures.SECOND;
     private static final Fingerprint CRASHING = new Fingerprint(1, 1);
     private static final Fingerprint HARMLESS = new Fingerprint(2, 2);
+    private static final Fingerprint PART = new Fingerprint(7, 1);
+    private static final Fingerprint OTHER_PART = new Fingerprint(7, 2);
 
     /** Guards against convicting requests that only shared an engine with a crashing request. */
     @Test
@@ -68,6 +71,115 @@
         assertThat(first.verdict(CRASHING, 4 * SECOND)).isEqualTo(Verdict.SUSPECT);
     }
 
+    /**
+     * Guards against a part of prompts that crashes one engine after the other, each time in
+     * another request.
+     */
+    @Test
+    void threeSeparateLossesUnderTwoRequestsConvictTheirCommonPart() {
+        SuspectTable table = table();
+        lose(table, request(1), PART, "e0", SECOND);
+        lose(table, request(1), PART, "e1", 2 * SECOND);
+        assertThat(verdict(table, PART, 4 * SECOND)).isEqualTo(Verdict.UNKNOWN);
+        lose(table, request(2), PART, "e2", 5 * SECOND);
+
+        assertThat(verdict(table, PART, 5 * SECOND)).isEqualTo(Verdict.PENDING);
+        assertThat(verdict(table, PART, 6 * SECOND)).isEqualTo(Verdict.CONVICTED);
+        assertThat(verdict(table, OTHER_PART, 6 * SECOND)).isEqualTo(Verdict.UNKNOWN);
+    }
+
+    /**
+     * Guards against blocking a part for the losses of a request that crashes engines by itself.
+     */
+    @Test
+    void lossesUnderOneRequestDoNotConvictItsParts() {
+        SuspectTable table = table();
+        for (int i = 0; i < 4; i++) {
+            lose(table, request(1), PART, "e" + i, (1 + 2 * i) * SECOND);
+        }
+
+        assertThat(verdict(table, PART, 20 * SECOND)).isEqualTo(Verdict.UNKNOWN);
+        assertThat(table.verdict(request(1), 20 * SECOND)).isEqualTo(Verdict.CONVICTED);
+    }
+
+    /** Guards against blocking a common part for the failure of a zone. */
+    @Test
+    void enginesLostAtTheSameTimeAreOneEventOfAPart() {
+        SuspectTable table = table();
+        for (int i = 0; i < 4; i++) {
+            lose(table, request(i), PART, "e" + i, SECOND + i * SECOND / 10);
+        }
+
+        assertThat(verdict(table, PART, 3 * SECOND)).isEqualTo(Verdict.SUSPECT);
+    }
+
+    /** Guards against blocking a part with which engines go on to answer other requests. */
+    @Test
+    void aSuccessWithAPartClearsItEvenAfterItsConviction() {
+        SuspectTable table = table();
+        lose(table, request(1), PART, "e0", SECOND);
+        lose(table, request(2), PART, "e1", 2 * SECOND);
+        lose(table, request(3), PART, "e2", 3 * SECOND);
+        assertThat(verdict(table, PART, 5 * SECOND)).isEqualTo(Verdict.CONVICTED);
+        table.clear(PART, 6 * SECOND);
+
+        assertThat(verdict(table, PART, 6 * SECOND)).isEqualTo(Verdict.UNKNOWN);
+        lose(table, request(4), PART, "e3", 7 * SECOND);
+        assertThat(verdict(table, PART, 9 * SECOND)).isEqualTo(Verdict.UNKNOWN);
+    }
+
+    /**
+     * Guards against blocking a sound part that so far only came together with a crashing one. Both
+     * have the same losses, so only a request with both is known to crash its engine.
+     */
+    @Test
+    void partsWithTheSameLossesAreOnlyHeldAgainstRequestsWithBoth() {
+        SuspectTable table = table();
+        for (int i = 0; i < 3; i++) {
+            table.recordLoss(request(i), List.of(PART, OTHER_PART), "e" + i, (1 + i) * SECOND);
+        }
+
+        assertThat(verdict(table, OTHER_PART, 6 * SECOND)).isEqualTo(Verdict.UNKNOWN);
+        assertThat(verdict(table, PART, 6 * SECOND)).isEqualTo(Verdict.UNKNOWN);
+        assertThat(table.verdict(request(7), List.of(PART, OTHER_PART), 6 * SECOND))
+                .isEqualTo(Verdict.CONVICTED);
+
+        lose(table, request(8), PART, "e3", 7 * SECOND);
+        assertThat(verdict(table, PART, 9 * SECOND)).isEqualTo(Verdict.CONVICTED);
+        assertThat(verdict(table, OTHER_PART, 9 * SECOND)).isEqualTo(Verdict.UNKNOWN);
+    }
+
+    /** Guards against a success that is undone by a loss from before it, reported late. */
+    @Test
+    void aLossFromBeforeASuccessDoesNotCount() {
+        SuspectTable first = table();
+        SuspectTable second = table();
+        lose(first, request(1), PART, "e0", SECOND);
+        second.clear(PART, 2 * SECOND);
+        second.merge(first.drainChanges(3 * SECOND), 3 * SECOND);
+        first.merge(second.drainChanges(4 * SECOND), 4 * SECOND);
+
+        for (SuspectTable table : List.of(first, second)) {
+            lose(table, request(2), PART, "e1", 5 * SECOND);
+            lose(table, request(3), PART, "e2", 6 * SECOND);
+            assertThat(verdict(table, PART, 8 * SECOND)).isEqualTo(Verdict.SUSPECT);
+        }
+    }
+
+    /** Guards against an instance that starts later and would let the part crash engines again. */
+    @Test
+    void aNewInstanceReceivesConvictions() {
+        SuspectTable table = table();
+        for (int i = 0; i < 3; i++) {
+            lose(table, request(i), PART, "e" + i, (1 + i) * SECOND);
+        }
+        assertThat(verdict(table, PART, 6 * SECOND)).isEqualTo(Verdict.CONVICTED);
+        SuspectTable started = table();
+        started.merge(table.entries(SECOND, 8, 60 * SECOND), 60 * SECOND);
+
+        assertThat(verdict(started, PART, 60 * SECOND)).isEqualTo(Verdict.CONVICTED);
+    }
+
     /** Guards against unbounded memory when many requests lose engines. */
     @Test
     void tableIsBounded() {
@@ -79,6 +191,20 @@
         assertThat(table.size()).isEqualTo(bound);
     }
 
+    private static Fingerprint request(int number) {
+        return new Fingerprint(50, number);
+    }
+
+    private static void lose(
+            SuspectTable table, Fingerprint request, Fingerprint part, String engine, long at) {
+        table.recordLoss(request, List.of(part), engine, at);
+    }
+
+    /** Returns the verdict on a new request with a part. */
+    private static Verdict verdict(SuspectTable table, Fingerprint part, long now) {
+        return table.verdict(request(99), List.of(part), now);
+    }
+
     private static SuspectTable table() {
         SuspectTable table = new SuspectTable(PolicyOptions.defaults().retry());
         for (int i = 0; i < 4; i++) {
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadCodec.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadCodec.java
@@ -8,6 +8,7 @@
 import org.gentianwalk.proto.EngineDoubt;
 import org.gentianwalk.proto.RunLoad;
 import org.gentianwalk.proto.ServiceLoad;
+import org.gentianwalk.server.control.SuspectCodec;
 
 /** Converts between the load of an instance and its messages. */
 final class LoadCodec {
@@ -30,7 +31,8 @@
                             .setMemory(run.memory())
                             .setAgeMs(run.ageMillis())
                             .setReading(run.prefilling())
-                            .setKeeper(run.copyHolder()));
+                            .setKeeper(run.copyHolder())
+                            .setSuspect(run.suspect()));
         }
         for (InstanceLoad.EngineFailure failure : load.failures()) {
             message.addDoubts(
@@ -40,6 +42,7 @@
                             .setAgeMs(failure.ageMillis())
                             .setSilent(failure.silent()));
         }
+        load.suspects().forEach(suspect -> message.addSuspects(SuspectCodec.encode(suspect)));
         return message.build();
     }
 
@@ -54,7 +57,8 @@
                             run.getMemory(),
                             run.getAgeMs(),
                             run.getReading(),
-                            run.getKeeper()));
+                            run.getKeeper(),
+                            run.getSuspect()));
         }
         List<InstanceLoad.EngineFailure> failures = new ArrayList<>(message.getDoubtsCount());
         for (EngineDoubt failure : message.getDoubtsList()) {
@@ -71,6 +75,7 @@
                 runs,
                 message.getWaiting(),
                 failures,
-                new FleetRetryBudget.Usage(message.getRequests(), message.getRetries()));
+                new FleetRetryBudget.Usage(message.getRequests(), message.getRetries()),
+                message.getSuspectsList().stream().map(SuspectCodec::decode).toList());
     }
 }
--- a/gentianwalk-server/src/main/java/org/gentianwalk/server/control/PolicyMessageCodec.java
+++ b/gentianwalk-server/src/main/java/org/gentianwalk/server/control/PolicyMessageCodec.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.gentianwalk.core.model.Fingerprint;
 import org.gentianwalk.core.model.Rank;
 import org.gentianwalk.core.policy.fairness.PolicyMessage;
 import org.gentianwalk.core.policy.fairness.PoolKey;
@@ -101,13 +100,7 @@
     static SuspectNotice toProto(PolicyMessage.SuspectNotice notice) {
         SuspectNotice.Builder builder = SuspectNotice.newBuilder();
         for (SuspectEntry entry : notice.entries()) {
-            builder.addEntries(
-                    org.gentianwalk.proto.SuspectEntry.newBuilder()
-                            .setFingerprintHigh(entry.fingerprint().high())
-                            .setFingerprintLow(entry.fingerprint().low())
-                            .addAllLosses(entry.losses())
-                            .setCleared(entry.cleared())
-                            .setAgeMs(entry.ageMs()));
+            builder.addEntries(SuspectCodec.encode(entry));
         }
         return builder.build();
     }
@@ -115,12 +108,7 @@
     static PolicyMessage.SuspectNotice fromProto(SuspectNotice notice) {
         List<SuspectEntry> entries = new ArrayList<>();
         for (org.gentianwalk.proto.SuspectEntry entry : notice.getEntriesList()) {
-            entries.add(
-                    new SuspectEntry(
-                            new Fingerprint(entry.getFingerprintHigh(), entry.getFingerprintLow()),
-                            entry.getLossesList(),
-                            entry.getCleared(),
-                            entry.getAgeMs()));
+            entries.add(SuspectCodec.decode(entry));
         }
         return new PolicyMessage.SuspectNotice(entries);
     }
