Log the request limit that an upstream states

Upstreams state in their answers how many requests a second they accept from all instances together. The header was not read, so the log could not show whether an instance had seen a limit before it exceeded it. No decision depends on it yet.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -265,6 +265,11 @@
                 });
     }
 
+    @Override
+    public void requestLimitStated(Upstream upstream, double limit) {
+        mControl.execute(() -> mLog.requestLimitStated(upstream, limit));
+    }
+
     @Override
     public void requestWithdrawn(long work) {
         mControl.execute(
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
@@ -175,6 +175,22 @@
                         .with("after_ms", nanos / NANOS_PER_MILLI));
     }
 
+    /**
+     * Logs that an upstream has stated a limit for its requests, or has lifted it.
+     *
+     * @param upstream the upstream
+     * @param limit requests a second from all instances together, or null for no limit
+     */
+    public void requestLimitStated(Upstream upstream, @Nullable Double limit) {
+        LOG.infov(
+                limit == null ? "request limit lifted" : "request limit stated",
+                new Fields()
+                        .with("upstream", upstream.id())
+                        .with("service", upstream.service())
+                        .with("zone", upstream.zone())
+                        .with("requests_per_s", limit));
+    }
+
     /**
      * Logs a new or changed entry of the list of upstreams.
      *
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/ControlPort.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/ControlPort.java
@@ -2,6 +2,7 @@
 
 import org.gentianwalk.core.dispatch.AttemptEnd;
 import org.gentianwalk.core.dispatch.Progress;
+import org.gentianwalk.core.dispatch.Upstream;
 import org.gentianwalk.core.dispatch.UpstreamLoad;
 import org.gentianwalk.core.dispatch.Work;
 import org.jspecify.annotations.Nullable;
@@ -48,6 +49,15 @@
      */
     void responseDelivered(long work, int attempt, Delivery delivery, @Nullable UpstreamLoad load);
 
+    /**
+     * Reports the limit that an upstream states in a response. Called for each response that states
+     * one.
+     *
+     * @param upstream the upstream
+     * @param limit requests a second that it accepts from all instances together
+     */
+    void requestLimitStated(Upstream upstream, double limit);
+
     /**
      * Reports that the caller has closed its connection before it had the complete response.
      *
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -272,6 +272,10 @@
         public void onHead(ResponseHead head, HttpHeaders headers) {
             mHead = head;
             mHeaders = headers;
+            Double limit = head.requestLimit();
+            if (limit != null) {
+                mCollaborators.control().requestLimitStated(mStart.upstream(), limit);
+            }
             mCollaborators.dialect().removeInternalHeaders(headers);
             mStreaming =
                     mWork.kind().isStream()
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/wire/ResponseHead.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/wire/ResponseHead.java
@@ -15,6 +15,8 @@
  * @param signed true when the response carries the upstream's signature
  * @param eventStream true when the body is a stream of events
  * @param load load of the upstream, or null without one
+ * @param requestLimit requests a second that the upstream accepts from all instances together, or
+ *     null when it states no limit
  * @param keepAlive how long the upstream keeps an idle connection open, or null without one
  */
 public record ResponseHead(
@@ -26,6 +28,7 @@
         boolean signed,
         boolean eventStream,
         @Nullable UpstreamLoad load,
+        @Nullable Double requestLimit,
         @Nullable Duration keepAlive) {
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_AFTER_SUCCESS = 300;
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/PlainDialect.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/PlainDialect.java
@@ -51,6 +51,7 @@
                 headers.contains("x-signed"),
                 headers.contains("x-events"),
                 null,
+                null,
                 keepAlive == null ? null : Duration.ofSeconds(Long.parseLong(keepAlive)));
     }
 
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -302,7 +302,16 @@
 
     private static ResponseHead head(int status, boolean signed, boolean events, boolean notRun) {
         return new ResponseHead(
-                "id-1", status, notRun, false, null, signed, events, (UpstreamLoad) null, null);
+                "id-1",
+                status,
+                notRun,
+                false,
+                null,
+                signed,
+                events,
+                (UpstreamLoad) null,
+                null,
+                null);
     }
 
     /** A request that was sent. */
@@ -366,6 +375,11 @@
             mLog.add("delivered " + attempt);
         }
 
+        @Override
+        public void requestLimitStated(Upstream upstream, double limit) {
+            mLog.add("limit " + upstream.id() + " " + limit);
+        }
+
         @Override
         public void requestWithdrawn(long work) {
             mLog.add("withdrawn");
