Keep the requests of all instances within the limits that upstreams state

An upstream in need got far more requests than the limit that it stated; callers noticed nothing so far.

Cause: the limit was not read, and there was no notion of a rate that all instances share; the only bound of that kind was the retry budget of a service. The log rules out retries and bursts as the cause: the rate did not change at any instance when limits were stated.

Change: UpstreamLimits divides each limit evenly between instances, without messages for single requests: a token bucket for each instance, and where the limit is smaller than the number of instances, a part of them, different for each upstream and spread over zones. Instances report to each other what upstreams have stated; the last statement holds, a response without a limit lifts it, and one that is not stated again is relaxed step by step. Both schedulers choose among the upstreams that they may use; calls without one are refused at once with the time to come back, generations wait, and copies are kept elsewhere where possible.

Considered: counting each other's requests from the load reports. It exceeds a limit by the requests that arrive while a report is on its way, which grows with the fleet.

--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/InstanceModel.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/InstanceModel.java
@@ -22,6 +22,7 @@
 import org.gentianwalk.core.dispatch.RetryBounds;
 import org.gentianwalk.core.dispatch.StreamScheduler;
 import org.gentianwalk.core.dispatch.Upstream;
+import org.gentianwalk.core.dispatch.UpstreamLimits;
 import org.gentianwalk.core.dispatch.Work;
 import org.gentianwalk.core.model.Location;
 import org.gentianwalk.core.route.RequestKind;
@@ -38,6 +39,7 @@
     private final VirtualClock mClock;
     private final String mName;
     private final String mZone;
+    private final UpstreamLimits mLimits;
     private final StreamScheduler mScheduler;
     private final Map<Long, OpenRequest> mOpen = new HashMap<>();
     private long mSharedChanges;
@@ -55,12 +57,14 @@
         LocationMap locations =
                 new LocationMap(
                         new Location(fleet.traits().region(zone), zone), fleet.traits().zones());
+        mLimits = new UpstreamLimits(new Random(seed));
         mScheduler =
                 new StreamScheduler(
                         FleetModel.SERVICE,
                         fleet.engineSpec(),
                         locations,
                         retries,
+                        mLimits,
                         new Random(seed));
         mClock.every(Math.floorMod(seed, TICK_NANOS), TICK_NANOS, this::runScheduler);
     }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.gentianwalk.core.dispatch.Decision.Ending;
@@ -61,6 +62,7 @@
 
     private final LocationMap mLocations;
     private final FleetRetryBudget mRetries;
+    private final UpstreamLimits mLimits;
     private final RandomGenerator mRandom;
     private final Map<String, Target> mTargets = new LinkedHashMap<>();
     private final Map<Long, Call> mCalls = new HashMap<>();
@@ -72,11 +74,17 @@
      *
      * @param locations distances from this instance
      * @param retries retry budget of the service
+     * @param limits limits stated by upstreams
      * @param random source of randomness for breaking ties
      */
-    public CallScheduler(LocationMap locations, FleetRetryBudget retries, RandomGenerator random) {
+    public CallScheduler(
+            LocationMap locations,
+            FleetRetryBudget retries,
+            UpstreamLimits limits,
+            RandomGenerator random) {
         mLocations = locations;
         mRetries = retries;
+        mLimits = limits;
         mRandom = random;
     }
 
@@ -220,7 +228,12 @@
         Target target = chooseTarget(call, nowNanos);
         if (target == null) {
             Ending ending = call.mExecutions == 0 ? Ending.REFUSED : Ending.UNKNOWN;
-            finish(call, ending, NO_UPSTREAM_RETRY, "no usable upstream", nowNanos);
+            Duration limitWait = shortestLimitWait(nowNanos);
+            if (limitWait == null) {
+                finish(call, ending, NO_UPSTREAM_RETRY, "no usable upstream", nowNanos);
+            } else {
+                finish(call, ending, limitWait, "all upstreams are at their limits", nowNanos);
+            }
             return false;
         }
         call.mAttempt++;
@@ -228,6 +241,7 @@
         call.mStartedAt = nowNanos;
         call.mTried.add(target.mUpstream.id());
         target.mRunning++;
+        mLimits.recordSent(target.mUpstream, nowNanos);
         mDecisions.add(
                 new Decision.Start(
                         call.mWork,
@@ -245,7 +259,7 @@
         Target best = null;
         double bestCost = 0;
         for (Target target : mTargets.values()) {
-            if (target.mEnded || target.mUpstream.draining()) {
+            if (!target.isUsable() || !mLimits.isPermitted(target.mUpstream, nowNanos)) {
                 continue;
             }
             double cost = cost(target, call, nowNanos);
@@ -257,6 +271,25 @@
         return best;
     }
 
+    /**
+     * Returns the time until an upstream may get another call, or null when none is usable. Other
+     * instances may still have a part of the limits, so a retry need not wait for this one's.
+     */
+    private @Nullable Duration shortestLimitWait(long nowNanos) {
+        Duration shortest = null;
+        for (Target target : mTargets.values()) {
+            if (!target.isUsable()) {
+                continue;
+            }
+            OptionalLong wait = mLimits.waitNanos(target.mUpstream, nowNanos);
+            Duration retry = wait.isEmpty() ? FULL_RETRY : Duration.ofNanos(wait.getAsLong());
+            if (shortest == null || retry.compareTo(shortest) < 0) {
+                shortest = retry;
+            }
+        }
+        return shortest == null || shortest.compareTo(FULL_RETRY) > 0 ? shortest : FULL_RETRY;
+    }
+
     /** Returns the expected wait of a call on top of its own duration, milliseconds. */
     private double cost(Target target, Call call, long nowNanos) {
         int slots = target.mUpstream.slots();
@@ -307,6 +340,10 @@
             mUpstream = upstream;
         }
 
+        boolean isUsable() {
+            return !mEnded && !mUpstream.draining();
+        }
+
         /** Returns the estimated number of requests from other instances. */
         double peerRequests(long nowNanos) {
             double left = 1 - (double) (nowNanos - mReportedAt) / REPORTED_LOAD_NANOS;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
@@ -57,6 +57,12 @@
     /** Cost of a copy holder in another region of a wide fleet, as a fraction of its memory. */
     private static final double COPY_HOLDER_REGION_COST = 0.4;
 
+    /**
+     * Cost of a copy holder that may not accept the generation when it has to take over, as a
+     * fraction of its memory.
+     */
+    private static final double COPY_HOLDER_LIMIT_COST = 1;
+
     /** Random cost that breaks ties between copy holders, as a fraction of their memory. */
     private static final double COPY_HOLDER_TIE_COST = 0.01;
 
@@ -72,6 +78,7 @@
     private final LocationMap mLocations;
     private final EngineView mEngineView;
     private final EngineSpeed mSpeed;
+    private final UpstreamLimits mLimits;
     private final RandomGenerator mRandom;
     private boolean mWide;
     private double mPosition;
@@ -81,11 +88,13 @@
             LocationMap locations,
             EngineView engineView,
             EngineSpeed speed,
+            UpstreamLimits limits,
             RandomGenerator random) {
         mSpec = spec;
         mLocations = locations;
         mEngineView = engineView;
         mSpeed = speed;
+        mLimits = limits;
         mRandom = random;
     }
 
@@ -106,7 +115,8 @@
         double ringCost = RING_COST * run.promptTokens() / mSpeed.prefillTokensPerNano();
         for (int i = 0; i < usable.size(); i++) {
             EngineState engine = usable.get(i);
-            if (engine.running() >= mSpec.slots()) {
+            if (engine.running() >= mSpec.slots()
+                    || !mLimits.isPermitted(engine.upstream(), nowNanos)) {
                 continue;
             }
             double memory = (double) engine.memory() / mSpec.memoryTokens();
@@ -151,6 +161,9 @@
             if (mWide && isInOtherRegion(other)) {
                 cost += COPY_HOLDER_REGION_COST;
             }
+            if (mLimits.isLimited(other.upstream())) {
+                cost += COPY_HOLDER_LIMIT_COST;
+            }
             if (best == null || cost < bestCost) {
                 best = other;
                 bestCost = cost;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -62,6 +62,7 @@
     private final EngineSpec mSpec;
     private final String mService;
     private final FleetRetryBudget mRetries;
+    private final UpstreamLimits mLimits;
     private final EngineSpeed mSpeed = new EngineSpeed();
     private final SuspectTable mSuspects = new SuspectTable(PolicyOptions.defaults().retry());
     private final EngineView mEngineView = new EngineView(mSuspects);
@@ -84,6 +85,7 @@
      * @param spec properties of its engines
      * @param locations distances from this instance
      * @param retries retry budget of the service
+     * @param limits limits stated by engines
      * @param random source of randomness for breaking ties
      */
     public StreamScheduler(
@@ -91,11 +93,13 @@
             EngineSpec spec,
             LocationMap locations,
             FleetRetryBudget retries,
+            UpstreamLimits limits,
             RandomGenerator random) {
         mService = service;
         mSpec = spec;
         mRetries = retries;
-        mSelector = new EngineSelector(spec, locations, mEngineView, mSpeed, random);
+        mLimits = limits;
+        mSelector = new EngineSelector(spec, locations, mEngineView, mSpeed, limits, random);
         mLossDetector = new LossDetector(mEngineView, mSpeed, locations);
     }
 
@@ -380,7 +384,8 @@
         if (copyHolder == null
                 || !lost
                 || !run.hasOutput()
-                || !mEngineView.isUsable(copyHolder, nowNanos)) {
+                || !mEngineView.isUsable(copyHolder, nowNanos)
+                || !mLimits.isPermitted(copyHolder.upstream(), nowNanos)) {
             return null;
         }
         return copyHolder;
@@ -445,6 +450,7 @@
         long expected =
                 nowNanos + backlog + Math.round(prefillTokens / mSpeed.prefillTokensPerNano());
         boolean uncontended = backlog == 0 && prefillTokens > 0;
+        mLimits.recordSent(engine.upstream(), nowNanos);
         run.recordStart(engine, copyHolder, prefillTokens, uncontended, expected, nowNanos);
         mLoadChanges++;
         mDecisions.add(
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallSchedulerTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallSchedulerTest.java
@@ -20,7 +20,8 @@
     private final Upstream mNextZone = upstream("next", "b");
     private final Upstream mFar = upstream("far", "c");
     private final CallScheduler mScheduler =
-            new CallScheduler(Samples.LOCATIONS, Samples.retries(), Samples.random());
+            new CallScheduler(
+                    Samples.LOCATIONS, Samples.retries(), Samples.limits(), Samples.random());
 
     @BeforeEach
     void listUpstreams() {
@@ -63,7 +64,11 @@
         for (AttemptEnd end :
                 List.of(AttemptEnd.REJECTED, AttemptEnd.UNREACHABLE, AttemptEnd.MISDIRECTED)) {
             CallScheduler scheduler =
-                    new CallScheduler(Samples.LOCATIONS, Samples.retries(), Samples.random());
+                    new CallScheduler(
+                            Samples.LOCATIONS,
+                            Samples.retries(),
+                            Samples.limits(),
+                            Samples.random());
             scheduler.replaceUpstreams(List.of(mNear, mNextZone, mFar), 0);
             scheduler.offer(Samples.call(1, RequestKind.SINGLE_CALL, 1, 0), 0);
             scheduler.advance(0);
@@ -94,7 +99,8 @@
     @Test
     void aCallThatMayHaveRunIsNotRefused() {
         CallScheduler scheduler =
-                new CallScheduler(Samples.LOCATIONS, Samples.retries(), Samples.random());
+                new CallScheduler(
+                        Samples.LOCATIONS, Samples.retries(), Samples.limits(), Samples.random());
         scheduler.replaceUpstreams(List.of(mNear), 0);
         scheduler.offer(Samples.call(1, RequestKind.IDEMPOTENT_CALL, 3, 0), 0);
         scheduler.advance(0);
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingPartTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingPartTest.java
@@ -63,6 +63,7 @@
                             Samples.SPEC,
                             Samples.LOCATIONS,
                             Samples.retries(),
+                            Samples.limits(),
                             new Random(seed + i));
             instance.replaceUpstreams(mEngines.values(), 0);
             mInstances.add(instance);
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/Samples.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/Samples.java
@@ -33,6 +33,10 @@
         return new FleetRetryBudget(new RetryBounds(0.8, 150, Duration.ofSeconds(10)));
     }
 
+    static UpstreamLimits limits() {
+        return new UpstreamLimits(random());
+    }
+
     static Upstream upstream(String id, String zone) {
         return new Upstream(id, 1, "service", "10.0.0." + id.hashCode() + ":80", zone, 6, false);
     }
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamSchedulerTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamSchedulerTest.java
@@ -36,6 +36,7 @@
                     Samples.SPEC,
                     Samples.LOCATIONS,
                     Samples.retries(),
+                    Samples.limits(),
                     Samples.random());
 
     @BeforeEach
@@ -101,6 +102,7 @@
                             Samples.SPEC,
                             Samples.LOCATIONS,
                             Samples.retries(),
+                            Samples.limits(),
                             Samples.random());
             Set<String> peers = new HashSet<>(names);
             peers.remove("peer-" + (position + 1));
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -8,6 +8,7 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
@@ -24,9 +25,11 @@
 import org.gentianwalk.core.dispatch.PeerLoadAware;
 import org.gentianwalk.core.dispatch.PeerView;
 import org.gentianwalk.core.dispatch.Progress;
+import org.gentianwalk.core.dispatch.StatedLimit;
 import org.gentianwalk.core.dispatch.StreamScheduler;
 import org.gentianwalk.core.dispatch.Upstream;
 import org.gentianwalk.core.dispatch.UpstreamDirectory;
+import org.gentianwalk.core.dispatch.UpstreamLimits;
 import org.gentianwalk.core.dispatch.UpstreamLoad;
 import org.gentianwalk.core.dispatch.Work;
 import org.gentianwalk.core.dispatch.WorkScheduler;
@@ -82,6 +85,8 @@
     private final RowFormat mRowFormat;
     private final EngineQueryClient mQueries;
     private final UpstreamDirectory mDirectory = new UpstreamDirectory();
+    private final UpstreamLimits mLimits = new UpstreamLimits(new Random());
+    private volatile Set<String> mLimited = Set.of();
     private final Map<String, WorkScheduler> mSchedulers = new HashMap<>();
     private final Map<Long, Request> mRequests = new HashMap<>();
     private final Set<WorkScheduler> mPendingConfirmations =
@@ -266,8 +271,40 @@
     }
 
     @Override
-    public void requestLimitStated(Upstream upstream, double limit) {
-        mControl.execute(() -> mLog.requestLimitStated(upstream, limit));
+    public void requestLimitStated(Upstream upstream, @Nullable Double limit) {
+        mControl.execute(
+                () -> {
+                    long changes = mLimits.changes();
+                    mLimits.recordStatement(upstream, limit, mTicker.nanos());
+                    publishLimited();
+                    if (mLimits.changes() != changes) {
+                        mLog.requestLimitStated(upstream, limit);
+                        advanceFleet();
+                    }
+                });
+    }
+
+    @Override
+    public boolean hasRequestLimit(Upstream upstream) {
+        return mLimited.contains(upstream.process());
+    }
+
+    private void publishLimited() {
+        Set<String> limited = mLimits.limitedProcesses();
+        if (!limited.equals(mLimited)) {
+            mLimited = limited;
+        }
+    }
+
+    @Override
+    public List<StatedLimit> statedLimits() {
+        return mLimits.recentStatements(mTicker.nanos());
+    }
+
+    @Override
+    public void recordPeerLimits(List<StatedLimit> limits) {
+        mLimits.merge(limits, mTicker.nanos());
+        publishLimited();
     }
 
     @Override
@@ -302,6 +339,7 @@
         try {
             drainInput();
             mDirectory.advance(mTicker.nanos());
+            mLimits.expire(mTicker.nanos());
             applyDirectory();
             for (WorkScheduler scheduler : mSchedulers.values()) {
                 executeDecisions(scheduler);
@@ -324,7 +362,7 @@
 
     @Override
     public long loadChanges() {
-        long changes = 0;
+        long changes = mLimits.changes();
         for (WorkScheduler scheduler : mSchedulers.values()) {
             changes += scheduler instanceof PeerLoadAware aware ? aware.loadChanges() : 0;
         }
@@ -355,6 +393,7 @@
     @Override
     public void updatePeers(PeerView peers) {
         mPeers = peers;
+        mLimits.updatePeers(peers);
         for (WorkScheduler scheduler : mSchedulers.values()) {
             if (scheduler instanceof PeerLoadAware aware) {
                 aware.updatePeers(peers);
@@ -473,15 +512,16 @@
     private WorkScheduler createScheduler(ServiceSpec service) {
         FleetRetryBudget retries = new FleetRetryBudget(mSettings.retries());
         mRetries.add(retries);
-        java.util.Random random = new java.util.Random();
+        Random random = new Random();
         WorkScheduler scheduler =
                 service.engine() == null
-                        ? new CallScheduler(mSettings.locations(), retries, random)
+                        ? new CallScheduler(mSettings.locations(), retries, mLimits, random)
                         : new StreamScheduler(
                                 service.name(),
                                 service.engine(),
                                 mSettings.locations(),
                                 retries,
+                                mLimits,
                                 random);
         scheduler.replaceUpstreams(mDirectory.upstreams(service.name()), mTicker.nanos());
         if (scheduler instanceof PeerLoadAware aware) {
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadCodec.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadCodec.java
@@ -5,9 +5,11 @@
 import org.gentianwalk.core.dispatch.FleetRetryBudget;
 import org.gentianwalk.core.dispatch.GenerationLoad;
 import org.gentianwalk.core.dispatch.InstanceLoad;
+import org.gentianwalk.core.dispatch.StatedLimit;
 import org.gentianwalk.proto.EngineDoubt;
 import org.gentianwalk.proto.RunLoad;
 import org.gentianwalk.proto.ServiceLoad;
+import org.gentianwalk.proto.UpstreamLimit;
 import org.gentianwalk.server.control.SuspectCodec;
 
 /** Converts between the load of an instance and its messages. */
@@ -46,6 +48,24 @@
         return message.build();
     }
 
+    static UpstreamLimit encode(StatedLimit limit) {
+        return UpstreamLimit.newBuilder()
+                .setProcess(limit.process())
+                .setRequestsPerS(limit.requestsPerSecond())
+                .setAgeMs(limit.ageMs())
+                .build();
+    }
+
+    static List<StatedLimit> decodeLimits(List<UpstreamLimit> messages) {
+        List<StatedLimit> limits = new ArrayList<>(messages.size());
+        for (UpstreamLimit message : messages) {
+            limits.add(
+                    new StatedLimit(
+                            message.getProcess(), message.getRequestsPerS(), message.getAgeMs()));
+        }
+        return limits;
+    }
+
     static InstanceLoad decode(ServiceLoad message) {
         List<GenerationLoad> runs = new ArrayList<>(message.getRunsCount());
         for (RunLoad run : message.getRunsList()) {
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadExchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadExchange.java
@@ -110,6 +110,7 @@
         for (InstanceLoad load : mListener.loads()) {
             notice.addServices(LoadCodec.encode(load));
         }
+        mListener.statedLimits().forEach(limit -> notice.addLimits(LoadCodec.encode(limit)));
         boolean includeRemote = !mWideFleet || now - mSentRemoteAt >= REPEAT_INTERVAL_NANOS;
         if (includeRemote) {
             mSentRemoteAt = now;
@@ -136,6 +137,9 @@
             }
             mListener.recordPeerLoads(
                     peerKey(notice.getInstance(), notice.getIncarnation()), loads);
+            if (notice.getLimitsCount() > 0) {
+                mListener.recordPeerLimits(LoadCodec.decodeLimits(notice.getLimitsList()));
+            }
         }
     }
 
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadListener.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadListener.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.gentianwalk.core.dispatch.InstanceLoad;
 import org.gentianwalk.core.dispatch.PeerView;
+import org.gentianwalk.core.dispatch.StatedLimit;
 
 /**
  * Supplies the load of this instance and receives that of the other instances. Called on the
@@ -31,6 +32,20 @@
      */
     void recordPeerLoads(String instance, List<InstanceLoad> loads);
 
+    /**
+     * Returns the limits that upstreams have stated to this instance lately.
+     *
+     * @return the statements to report
+     */
+    List<StatedLimit> statedLimits();
+
+    /**
+     * Records the limits that upstreams have stated to another instance.
+     *
+     * @param limits its latest statements
+     */
+    void recordPeerLimits(List<StatedLimit> limits);
+
     /**
      * Updates the live instances; reports of others are discarded.
      *
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/ControlPort.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/ControlPort.java
@@ -51,12 +51,20 @@
 
     /**
      * Reports the limit that an upstream states in a response. Called for each response that states
-     * one.
+     * one, or that comes from an upstream that has a limit.
      *
      * @param upstream the upstream
-     * @param limit requests a second that it accepts from all instances together
+     * @param limit requests a second that it accepts from all instances together; null for no limit
      */
-    void requestLimitStated(Upstream upstream, double limit);
+    void requestLimitStated(Upstream upstream, @Nullable Double limit);
+
+    /**
+     * Returns whether an upstream has stated a limit and has not lifted it. Thread-safe.
+     *
+     * @param upstream the upstream
+     * @return true while the limit is in force
+     */
+    boolean hasRequestLimit(Upstream upstream);
 
     /**
      * Reports that the caller has closed its connection before it had the complete response.
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -272,10 +272,7 @@
         public void onHead(ResponseHead head, HttpHeaders headers) {
             mHead = head;
             mHeaders = headers;
-            Double limit = head.requestLimit();
-            if (limit != null) {
-                mCollaborators.control().requestLimitStated(mStart.upstream(), limit);
-            }
+            reportRequestLimit(head.requestLimit());
             mCollaborators.dialect().removeInternalHeaders(headers);
             mStreaming =
                     mWork.kind().isStream()
@@ -284,6 +281,13 @@
                             && head.eventStream();
         }
 
+        private void reportRequestLimit(@Nullable Double limit) {
+            ControlPort control = mCollaborators.control();
+            if (limit != null || control.hasRequestLimit(mStart.upstream())) {
+                control.requestLimitStated(mStart.upstream(), limit);
+            }
+        }
+
         @Override
         public void onBody(byte[] part) {
             if (mAttempt != this) {
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -294,6 +294,23 @@
         listener.onComplete();
     }
 
+    /** A limit that is not reported would be exceeded, and one that is not lifted would stay. */
+    @Test
+    void aStatedLimitIsReportedAndItsAbsenceLiftsIt() {
+        Exchange exchange = exchange(RequestKind.IDEMPOTENT_CALL, 0);
+        start(exchange, 1, FIRST);
+        ResponseHead limited =
+                new ResponseHead("id-1", 200, false, false, null, true, false, null, 3.5, null);
+        mSent.getFirst().listener().onHead(limited, new DefaultHttpHeaders());
+        assertThat(mControl.mLog).containsExactly("limit 3.5");
+        mSent.getFirst().listener().onHead(head(200, true, false, false), new DefaultHttpHeaders());
+        assertThat(mControl.mLog).containsExactly("limit 3.5");
+        mControl.mHasLimit = true;
+        mSent.getFirst().listener().onHead(head(200, true, false, false), new DefaultHttpHeaders());
+
+        assertThat(mControl.mLog).containsExactly("limit 3.5", "limit null");
+    }
+
     private void events(int index, String text) {
         UpstreamListener listener = mSent.get(index).listener();
         listener.onHead(head(200, true, true, false), new DefaultHttpHeaders());
@@ -352,6 +369,7 @@
     /** Records the events reported to the control thread. */
     private static final class RecordedControl implements ControlPort {
         private final List<String> mLog = new ArrayList<>();
+        private boolean mHasLimit;
 
         @Override
         public void requestArrived(Work work, Exchange exchange) {
@@ -376,8 +394,13 @@
         }
 
         @Override
-        public void requestLimitStated(Upstream upstream, double limit) {
-            mLog.add("limit " + upstream.id() + " " + limit);
+        public void requestLimitStated(Upstream upstream, Double limit) {
+            mLog.add("limit " + limit);
+        }
+
+        @Override
+        public boolean hasRequestLimit(Upstream upstream) {
+            return mHasLimit;
         }
 
         @Override
