Treat a stream that ends within an event as broken off

A response without a length or chunks ends with its connection, and an engine may break it off in the middle of an event. Exchange forwarded the incomplete event and ended the stream as complete, so that the caller took a cut answer for a whole one. The attempt now counts as lost and goes on after the last complete event, or the caller's connection is broken off where it can't be repeated. Empty lines after the last event belong to no event.

aStreamThatEndsWithinAnEventIsNotComplete failed before with "delivered 1". That a response without a length is complete at the regular end of its connection, and broken after a reset, is covered by UpstreamConnectionTest, which passed before.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/EventSplitter.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/EventSplitter.java
@@ -42,6 +42,16 @@
         return Arrays.copyOf(mBytes, mLength);
     }
 
+    /** Returns whether the bytes after the last complete event are more than empty lines. */
+    boolean isWithinEvent() {
+        for (int i = 0; i < mLength; i++) {
+            if (mBytes[i] != '\n' && mBytes[i] != '\r') {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns whether the line feed at {@code end} ends an empty line after a non-empty event. */
     private boolean endsEvent(int start, int end) {
         int before = end - 1;
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -417,6 +417,10 @@
         }
 
         private void completeStream() {
+            if (mSplitter.isWithinEvent()) {
+                endAttempt(this, AttemptEnd.LOST, "the stream ends within an event");
+                return;
+            }
             byte[] remainder = mSplitter.remainder();
             sendHead();
             if (remainder.length > 0) {
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/EventSplitterTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/EventSplitterTest.java
@@ -20,6 +20,7 @@
         assertThat(events).extracting(StreamEvent::number).containsExactly(1L, 2L);
         assertThat(text(events.get(0).bytes())).isEqualTo("id: 1\ndata: one\n\n");
         assertThat(text(splitter.remainder())).isEqualTo("id: 3\ndata: th");
+        assertThat(splitter.isWithinEvent()).isTrue();
     }
 
     @Test
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -294,6 +294,29 @@
         listener.onComplete();
     }
 
+    /** A stream without a length ends with its connection, also when its engine breaks it off. */
+    @Test
+    void aStreamThatEndsWithinAnEventIsNotComplete() {
+        Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 0);
+        start(exchange, 1, FIRST);
+        events(0, "id: 1\n\nid: 2\nda");
+        mSent.getFirst().listener().onComplete();
+
+        assertThat(mControl.mLog).containsExactly("ended 1 LOST");
+        assertThat(mCaller.mLog).containsExactly("begin 200", "part id: 1\n\n");
+    }
+
+    /** Empty lines after the last event belong to no event. */
+    @Test
+    void emptyLinesAtTheEndDoNotBreakOffAStream() {
+        Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 0);
+        start(exchange, 1, FIRST);
+        events(0, "id: 1\n\n\n");
+        mSent.getFirst().listener().onComplete();
+
+        assertThat(mControl.mLog).containsExactly("delivered 1");
+    }
+
     /** A limit that is not reported would be exceeded, and one that is not lifted would stay. */
     @Test
     void aStatedLimitIsReportedAndItsAbsenceLiftsIt() {
