--- a/review/standin/EndOfGrace.java
+++ b/review/standin/EndOfGrace.java
@@ -13,13 +13,13 @@
  * platform's balancer is played as its page says. With TROUBLE=0 no machine is stopped.
  */
 final class EndOfGrace {
-    private static final int ROUNDS = 4;
-    private static final double ROUND_S = 20;
-    private static final double RATE = 36;
-    private static final int WORK_MS = 86;
+    private static final int ROUNDS = 5;
+    private static final double ROUND_S = 19;
+    private static final double RATE = 46;
+    private static final int WORK_MS = 21;
 
     /** The requesters' time limit. */
-    private static final int LIMIT_MS = 3_000;
+    private static final int LIMIT_MS = 2_500;
 
     private static final double GRACE_S = 8;
 
@@ -62,10 +62,10 @@
                 "config",
                 Rows.config(
                         1,
-                        Rows.route("/confirm/", "unsafe", "desk", 3_000, ",\"max_attempts\":1")
+                        Rows.route("/reorder/", "unsafe", "desk", 1_200, ",\"max_attempts\":1")
                                 + ","
                                 + Rows.route(
-                                        "/draft/",
+                                        "/quote/",
                                         "streaming",
                                         "writer",
                                         25_000,
@@ -124,8 +124,8 @@
     /** Sends SIGTERM to two machines, one second apart, and starts each again when it has ended. */
     private void stop(Deployment.Node first, Deployment.Node second) throws Exception {
         // A stream that began before SIGTERM is in progress at each of the two.
-        Thread.ofVirtual().start(() -> draft(first));
-        Thread.ofVirtual().start(() -> draft(second));
+        Thread.ofVirtual().start(() -> quote(first));
+        Thread.ofVirtual().start(() -> quote(second));
         Thread.sleep(1_000);
         for (Deployment.Node node : List.of(first, second)) {
             node.stoppedAt = System.nanoTime();
@@ -153,19 +153,19 @@
         }
     }
 
-    private void draft(Deployment.Node node) {
+    private void quote(Deployment.Node node) {
         String id = id();
         mRecord.add("send    %s (stream) to %s", id, node.name);
         Client.Answer answer =
                 Client.send(
                         node.front,
-                        "POST /draft/1 HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: "
+                        "POST /quote/1 HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: "
                                 + id
                                 + "\r\nDeadline-Ms: 25000\r\nModel: m\r\nToken-Usage: 8000,1170\r\n"
                                 + "Prompt-Prefix: "
                                 + id
                                 + ":8000\r\nAuthorization: Token key-1\r\n"
-                                + "Content-Length: 5\r\n\r\ndraft",
+                                + "Content-Length: 5\r\n\r\nquote",
                         25_000);
         mRecord.add("answer  %s (stream) status %d", id, answer.status());
     }
@@ -213,14 +213,14 @@
                     Thread.sleep(Duration.ofNanos(wait));
                 }
                 Deployment.Node node = choose();
-                Thread.ofVirtual().start(() -> confirm(node));
+                Thread.ofVirtual().start(() -> order(node));
             }
         } catch (InterruptedException e) {
             return;
         }
     }
 
-    private void confirm(Deployment.Node node) {
+    private void order(Deployment.Node node) {
         String id = id();
         long sent = System.nanoTime();
         long term = node.stoppedAt;
@@ -228,7 +228,7 @@
         Client.Answer answer =
                 Client.send(
                         node.front,
-                        "POST /confirm/1 HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: "
+                        "POST /reorder/1 HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: "
                                 + id
                                 + "\r\nDeadline-Ms: "
                                 + LIMIT_MS
