--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -21,12 +23,14 @@
  * with its command and with settings made from its template, beside a store stand-in.
  */
 final class Deployment implements AutoCloseable {
+    private static final Set<Integer> TAKEN = ConcurrentHashMap.newKeySet();
+
     final Store store = new Store();
     final List<Node> nodes = new ArrayList<>();
     private final Path mRoot = Path.of("").toAbsolutePath();
     private final Path mTemp;
     private final Map<String, String> mZones;
-    private final Set<Process> mStarted = java.util.concurrent.ConcurrentHashMap.newKeySet();
+    private final Set<Process> mStarted = ConcurrentHashMap.newKeySet();
 
     Deployment(Map<String, String> zones) throws IOException {
         mZones = new LinkedHashMap<>(zones);
@@ -156,12 +160,21 @@
         return text;
     }
 
+    /** Returns a free port below those that systems choose for outgoing channels. */
     static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
+        for (int i = 0; i < 1_000; i++) {
+            int port = ThreadLocalRandom.current().nextInt(12_000, 30_000);
+            if (!TAKEN.add(port)) {
+                continue;
+            }
+            try (ServerSocket socket =
+                    new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                // Another program listens there.
+            }
         }
+        throw new IllegalStateException("no port is free");
     }
 
     private void killAll() {
--- a/review/standin/EndOfGrace.java
+++ b/review/standin/EndOfGrace.java
@@ -15,7 +15,7 @@
 final class EndOfGrace {
     private static final int ROUNDS = 5;
     private static final double ROUND_S = 19;
-    private static final double RATE = 46;
+    private static final double RATE = 120;
     private static final int WORK_MS = 21;
 
     /** The requesters' time limit. */
