--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,7 @@
 cd "$case_dir/../.." || exit 2
 . bin/java-home.sh || exit 2
 [ -d target/review ] && [ -d target/image ] || { echo "build first" >&2; exit 2; }
-exec timeout -k 2 115 "$JAVA_HOME/bin/java" -cp target/review EndOfGrace "$case_dir"
+timeout -k 2 115 "$JAVA_HOME/bin/java" -cp target/review EndOfGrace "$case_dir"
+result=$?
+[ "$result" -le 2 ] || result=2
+exit "$result"
