Refuse calls that a stopping instance cannot finish

Cause: the end of the process was decided by the clock alone. Nothing compared the time that was left with the time that a call needs, and nothing answered the requests in progress at the end.

Change: the schedulers know when the instance stops. A call is sent, or sent again after a rejection, only if it can be finished by then; the time that it needs follows from the duration of answered calls (average and four mean deviations, at least 200 ms, at most its own deadline). A call of 21 ms is thus still served in the last second, which is better for callers than a refusal while other instances stop, too. What is still in progress 400 ms before the end of the grace period gets a final answer: 503 if it never ran, otherwise 502, or the end of a stream that has begun. The process exits once no connection is left, at the latest 100 ms before the end of the grace period.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -43,11 +43,6 @@
      */
     private static final double SPREAD_FRACTION = 0.3;
 
-    /** Estimated call duration before the first answer, milliseconds. */
-    private static final double INITIAL_CALL_MILLIS = 30;
-
-    private static final double CALL_WEIGHT = 0.05;
-
     /** Time over which a load reported by an upstream decays linearly to zero. */
     private static final long REPORTED_LOAD_NANOS = Duration.ofMillis(500).toNanos();
 
@@ -58,7 +53,6 @@
     private static final double LAST_RESORT_COST_MILLIS = 10_000;
 
     private static final double TIE_MILLIS = 0.5;
-    private static final double NANOS_PER_MILLI = 1e6;
 
     private final LocationMap mLocations;
     private final FleetRetryBudget mRetries;
@@ -67,7 +61,8 @@
     private final Map<String, Target> mTargets = new LinkedHashMap<>();
     private final Map<Long, Call> mCalls = new HashMap<>();
     private List<Decision> mDecisions = new ArrayList<>();
-    private double mCallMillis = INITIAL_CALL_MILLIS;
+    private final CallDuration mDuration = new CallDuration();
+    private @Nullable Long mStopsAt;
 
     /**
      * Creates a scheduler without upstreams.
@@ -143,8 +138,7 @@
             default -> target.mEnded = true;
         }
         if (end == AttemptEnd.SUCCEEDED) {
-            double millis = (nowNanos - call.mStartedAt) / NANOS_PER_MILLI;
-            mCallMillis += CALL_WEIGHT * (millis - mCallMillis);
+            mDuration.record(nowNanos - call.mStartedAt);
             mCalls.remove(work);
         } else if (end.isNotExecuted()) {
             handleNotExecuted(call, end, nowNanos);
@@ -161,8 +155,16 @@
         }
     }
 
+    @Override
+    public void stopAt(long nanos) {
+        mStopsAt = nanos;
+    }
+
     @Override
     public List<Decision> advance(long nowNanos) {
+        if (mStopsAt != null && nowNanos - mStopsAt >= 0) {
+            List.copyOf(mCalls.values()).forEach(call -> finishStopping(call, nowNanos));
+        }
         List<Call> expired = new ArrayList<>();
         for (Call call : mCalls.values()) {
             if (nowNanos - call.mWork.deadlineNanos() >= 0) {
@@ -225,6 +227,10 @@
      * @return whether an attempt was started
      */
     private boolean start(Call call, long nowNanos) {
+        if (!canFinish(call, nowNanos)) {
+            finishStopping(call, nowNanos);
+            return false;
+        }
         Target target = chooseTarget(call, nowNanos);
         if (target == null) {
             Ending ending = call.mExecutions == 0 ? Ending.REFUSED : Ending.UNKNOWN;
@@ -255,6 +261,25 @@
         return true;
     }
 
+    /** Returns whether a call that is sent now will have its answer before the instance stops. */
+    private boolean canFinish(Call call, long nowNanos) {
+        if (mStopsAt == null) {
+            return true;
+        }
+        long longest = Math.min(mDuration.boundNanos(), call.mWork.deadlineNanos() - nowNanos);
+        return mStopsAt - nowNanos >= longest;
+    }
+
+    private void finishStopping(Call call, long nowNanos) {
+        boolean notExecuted = call.mTarget == null && call.mExecutions == 0;
+        finish(
+                call,
+                notExecuted ? Ending.REFUSED : Ending.UNKNOWN,
+                STOPPING_RETRY,
+                "the instance is stopping",
+                nowNanos);
+    }
+
     private @Nullable Target chooseTarget(Call call, long nowNanos) {
         Target best = null;
         double bestCost = 0;
@@ -294,8 +319,9 @@
     private double cost(Target target, Call call, long nowNanos) {
         int slots = target.mUpstream.slots();
         double load = target.mRunning + target.peerRequests(nowNanos);
-        double wait = Math.max(0, load + 1 - slots) / slots * mCallMillis;
-        double cost = wait + SPREAD_FRACTION * mCallMillis * load / slots;
+        double callMillis = mDuration.meanMillis();
+        double wait = Math.max(0, load + 1 - slots) / slots * callMillis;
+        double cost = wait + SPREAD_FRACTION * callMillis * load / slots;
         cost += roundTripMillis(mLocations.distance(target.mUpstream.zone()));
         cost += TIE_MILLIS * mRandom.nextDouble();
         if (target.mReachability.isFailing()) {
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -77,6 +77,7 @@
     private int mOpenCacheQueries;
     private boolean mHasQueriedCaches;
     private long mQueriedCachesAt;
+    private @Nullable Long mStopsAt;
 
     /**
      * Creates a scheduler without engines.
@@ -264,20 +265,32 @@
         }
     }
 
+    @Override
+    public void stopAt(long nanos) {
+        mStopsAt = nanos;
+    }
+
     @Override
     public List<Decision> advance(long nowNanos) {
+        boolean stops = mStopsAt != null && nowNanos - mStopsAt >= 0;
         mEvidence.enginesToCheck().forEach(engine -> mLossDetector.requestCheck(engine, nowNanos));
         if (mEvidence.advance(nowNanos)) {
             mLoadChanges++;
         }
         for (StreamRun run : List.copyOf(mRuns.values())) {
+            boolean notExecuted = run.engine() == null && run.executions() == 0;
             if (nowNanos - run.work().deadlineNanos() >= 0) {
-                boolean notExecuted = run.engine() == null && run.executions() == 0;
                 finish(
                         run,
                         notExecuted ? Ending.REFUSED : Ending.TIMED_OUT,
                         Duration.ZERO,
                         "deadline exceeded");
+            } else if (stops) {
+                finish(
+                        run,
+                        notExecuted ? Ending.REFUSED : Ending.UNKNOWN,
+                        STOPPING_RETRY,
+                        "the instance is stopping");
             } else if (!run.hasOutput() && verdict(run, nowNanos) == Verdict.CONVICTED) {
                 refuseConvicted(run);
             } else {
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/WorkScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/WorkScheduler.java
@@ -1,5 +1,6 @@
 package org.gentianwalk.core.dispatch;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
 
@@ -8,6 +9,9 @@
  * threads or I/O.
  */
 public interface WorkScheduler {
+    /** Retry-after while the instance stops; the balancer sends the retry to another one. */
+    Duration STOPPING_RETRY = Duration.ofMillis(20);
+
     /**
      * Replaces the upstreams of the service. Running attempts at removed ones continue.
      *
@@ -60,6 +64,14 @@
      */
     void remove(long work, long nowNanos);
 
+    /**
+     * Sets the time at which the instance stops. Calls that can't be finished by then are refused,
+     * and requests that are still in progress then are ended.
+     *
+     * @param nanos monotonic nanoseconds
+     */
+    void stopAt(long nanos);
+
     /**
      * Returns the new decisions. Must be called after every event and periodically.
      *
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallSchedulerTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallSchedulerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.gentianwalk.core.dispatch.Samples.MS;
+import static org.gentianwalk.core.dispatch.Samples.SECOND;
 import static org.gentianwalk.core.dispatch.Samples.finishes;
 import static org.gentianwalk.core.dispatch.Samples.starts;
 import static org.gentianwalk.core.dispatch.Samples.upstream;
@@ -164,6 +165,66 @@
         assertThat(mScheduler.advance(2 * MS)).isEmpty();
     }
 
+    /** A call that is accepted and then cut off may have been executed without an answer. */
+    @Test
+    void aCallThatCannotFinishBeforeTheInstanceStopsIsRefused() {
+        for (int id = 1; id <= 100; id++) {
+            long now = id * 10 * MS;
+            offer(Samples.call(id, RequestKind.SINGLE_CALL, 1, now), now);
+            mScheduler.recordAttemptEnd(id, 1, AttemptEnd.SUCCEEDED, now + 21 * MS);
+        }
+        mScheduler.stopAt(10 * SECOND);
+
+        long early = 9_700 * MS;
+        assertThat(offer(Samples.call(101, RequestKind.SINGLE_CALL, 1, early), early)).isNotNull();
+        long late = 9_900 * MS;
+        mScheduler.offer(Samples.call(102, RequestKind.SINGLE_CALL, 1, late), late);
+        Decision.Finish refusal = finishes(mScheduler.advance(late)).getFirst();
+
+        assertThat(refusal.work().id()).isEqualTo(102);
+        assertThat(refusal.ending()).isEqualTo(Ending.REFUSED);
+        assertThat(refusal.retryAfter()).isEqualTo(WorkScheduler.STOPPING_RETRY);
+    }
+
+    /** Calls of a slow service need more of the time that is left. */
+    @Test
+    void theTimeThatACallNeedsFollowsFromTheDurationOfOthers() {
+        for (int id = 1; id <= 100; id++) {
+            offer(Samples.call(id, RequestKind.SINGLE_CALL, 1, 0), 0);
+            mScheduler.recordAttemptEnd(id, 1, AttemptEnd.SUCCEEDED, 900 * MS);
+        }
+        mScheduler.stopAt(10 * SECOND);
+
+        long now = 9_200 * MS;
+        mScheduler.offer(Samples.call(101, RequestKind.SINGLE_CALL, 1, now), now);
+
+        assertThat(finishes(mScheduler.advance(now)).getFirst().ending()).isEqualTo(Ending.REFUSED);
+    }
+
+    @Test
+    void aCallThatWasRejectedIsNotSentAgainWhenItCannotFinish() {
+        mScheduler.stopAt(SECOND);
+        offer(Samples.call(1, RequestKind.SINGLE_CALL, 1, 0), 0);
+
+        mScheduler.recordAttemptEnd(1, 1, AttemptEnd.REJECTED, 900 * MS);
+        List<Decision> due = mScheduler.advance(900 * MS);
+
+        assertThat(starts(due)).isEmpty();
+        assertThat(finishes(due).getFirst().ending()).isEqualTo(Ending.REFUSED);
+    }
+
+    /** The end of the process would close the connection without an answer. */
+    @Test
+    void aCallInProgressIsAnsweredWhenTheInstanceStops() {
+        mScheduler.stopAt(SECOND);
+        offer(Samples.call(1, RequestKind.SINGLE_CALL, 1, 0), 0);
+
+        assertThat(mScheduler.advance(SECOND - MS)).isEmpty();
+        Decision.Finish finish = finishes(mScheduler.advance(SECOND)).getFirst();
+
+        assertThat(finish.ending()).as("it may have been executed").isEqualTo(Ending.UNKNOWN);
+    }
+
     private Decision.Start offer(Work work, long now) {
         mScheduler.offer(work, now);
         return starts(mScheduler.advance(now)).getLast();
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamSchedulerTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamSchedulerTest.java
@@ -585,6 +585,24 @@
         return decisions;
     }
 
+    /** A generation that never reached an engine can be retried at another instance. */
+    @Test
+    void generationsInProgressAreEndedWhenTheInstanceStops() {
+        for (int id = 1; id <= 6; id++) {
+            mScheduler.offer(stream(id, 2, 8_000, 0), 0);
+        }
+        assertThat(starts(mScheduler.advance(0))).hasSize(5);
+        mScheduler.stopAt(100 * MS);
+
+        Map<Long, Ending> endings = new HashMap<>();
+        for (Decision.Finish finish : finishes(mScheduler.advance(100 * MS))) {
+            endings.put(finish.work().id(), finish.ending());
+        }
+
+        assertThat(endings).hasSize(6).containsEntry(1L, Ending.UNKNOWN);
+        assertThat(endings).containsEntry(6L, Ending.REFUSED);
+    }
+
     private Decision.Start offer(Work work, long now) {
         mScheduler.offer(work, now);
         return starts(mScheduler.advance(now)).getLast();
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
@@ -37,12 +37,16 @@
      */
     private static final Duration READINESS_DELAY = Duration.ofMillis(2_300);
 
-    /** Time before the end of the grace period at which the process exits on its own. */
+    /** Time before the end of the grace period at which requests in progress are ended. */
     private static final Duration STOP_MARGIN = Duration.ofMillis(400);
 
+    /** Time before the end of the grace period at which the process exits on its own. */
+    private static final Duration EXIT_MARGIN = Duration.ofMillis(100);
+
     private static final Duration STOP_POLL = Duration.ofMillis(50);
 
     private final GatewaySettings mSettings;
+    private final Ticker mTicker;
     private final EventLoopGroup mTraffic;
     private final ScheduledExecutorService mControl;
     private final ControlPlane mControlPlane;
@@ -66,6 +70,7 @@
             RowFormat rows,
             BiFunction<UpstreamSender, ScheduledExecutorService, RowStore> store) {
         Ticker ticker = Ticker.system();
+        mTicker = ticker;
         mSettings = settings;
         mDialect = dialect;
         mStore = store;
@@ -110,24 +115,25 @@
     }
 
     /**
-     * Stops gracefully: the readiness check fails first, requests that arrive until the balancer
-     * has noticed are still served, and the instance ends once no connection is left or the grace
-     * period is over.
+     * Stops gracefully: the readiness check fails first, and calls are served as long as they can
+     * be finished within the grace period, since the balancer may go on to send connections.
+     * Requests still in progress shortly before its end get a final answer. The instance ends once
+     * no connection is left or the grace period is over.
      *
      * @param done called at the end, on the traffic loop
      */
     public void stop(Runnable done) {
         mStopping = true;
-        mControlPlane.announceStop();
-        long startNanos = System.nanoTime();
+        long startNanos = mTicker.nanos();
+        mControlPlane.announceStop(startNanos + mSettings.stopGrace().minus(STOP_MARGIN).toNanos());
         ScheduledExecutorService loop = mTraffic.next();
         loop.schedule(mEdge::closeIdle, READINESS_DELAY.toMillis(), TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(
                 () -> {
-                    long elapsed = System.nanoTime() - startNanos;
+                    long elapsed = mTicker.nanos() - startNanos;
                     boolean noticed = elapsed >= READINESS_DELAY.toNanos();
                     boolean graceExpired =
-                            elapsed >= mSettings.stopGrace().minus(STOP_MARGIN).toNanos();
+                            elapsed >= mSettings.stopGrace().minus(EXIT_MARGIN).toNanos();
                     if (graceExpired || noticed && mEdge.connections() == 0) {
                         done.run();
                     }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -97,6 +97,7 @@
     private final List<TableWatcher> mWatchers = new ArrayList<>();
     private PeerView mPeers = PeerView.ALONE;
     private @Nullable FleetLink mFleet;
+    private @Nullable Long mStopsAt;
     private volatile @Nullable RouteTable mTable;
 
     /**
@@ -183,10 +184,17 @@
         mControl.execute(() -> mRetries.forEach(retries -> retries.bounds(settings.retries())));
     }
 
-    /** Announces to the other instances that this one is about to stop. */
-    public void announceStop() {
+    /**
+     * Announces to the other instances that this one is about to stop, and ends the requests that
+     * are still in progress then.
+     *
+     * @param stopsAtNanos time at which the instance stops
+     */
+    public void announceStop(long stopsAtNanos) {
         mControl.execute(
                 () -> {
+                    mStopsAt = stopsAtNanos;
+                    mSchedulers.values().forEach(scheduler -> scheduler.stopAt(stopsAtNanos));
                     FleetLink fleet = mFleet;
                     if (fleet != null) {
                         fleet.leave();
@@ -527,6 +535,9 @@
         if (scheduler instanceof PeerLoadAware aware) {
             aware.updatePeers(mPeers);
         }
+        if (mStopsAt != null) {
+            scheduler.stopAt(mStopsAt);
+        }
         return scheduler;
     }
 
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/TrafficHandler.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/TrafficHandler.java
@@ -5,6 +5,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.gentianwalk.core.dispatch.Work;
+import org.gentianwalk.core.dispatch.WorkScheduler;
 import org.gentianwalk.core.route.Route;
 import org.gentianwalk.core.route.RouteTable;
 import org.gentianwalk.core.route.Team;
@@ -23,9 +24,6 @@
     /** Retry-after time while the instance has no configuration. */
     private static final Duration UNCONFIGURED_RETRY = Duration.ofMillis(200);
 
-    /** Retry-after time while the instance stops; the balancer sends the retry to another one. */
-    private static final Duration STOPPING_RETRY = Duration.ofMillis(20);
-
     private final Supplier<@Nullable RouteTable> mTable;
     private final Exchange.Collaborators mCollaborators;
     private final BooleanSupplier mStopping;
@@ -62,7 +60,8 @@
         }
         if (route.kind().isStream() && mStopping.getAsBoolean()) {
             // A stream may outlast the grace period of the stop; another instance can finish it.
-            channel.respond(SERVICE_UNAVAILABLE, "the instance is stopping", STOPPING_RETRY);
+            channel.respond(
+                    SERVICE_UNAVAILABLE, "the instance is stopping", WorkScheduler.STOPPING_RETRY);
             return NO_LISTENER;
         }
         Team team = null;
