Announce only those changes of a table that were read

Cause: a heartbeat of a reader states that nothing has changed between the version that it announced last and the one that it has read. Changes that it had received from another instance while the store turned it away lie within that range, but are neither announced nor missing from its own copy, so the next read did not find them. A follower that had been turned away as well took over the version without the row.

The same cause on a related path: a reader that received a message of the other reader announced its own next read as if it started at its last announcement, so a follower that missed that message never saw its rows.

Change: each read is reported with the version from which it is complete (the version of the copy when the call was made), and an announcement covers consecutive reads only. A gap starts a new range, and a follower that is behind it polls the store itself.

Evidence: without the check for a gap, two of the three new tests fail: aHeartbeatDoesNotCoverChangesThatTheReaderReceivedFromAnotherInstance and anAnnouncementDoesNotCoverChangesThatAnotherReaderAnnounced. The third guards against needless calls to the store.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/TableExchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/TableExchange.java
@@ -15,6 +15,7 @@
 import org.gentianwalk.core.time.Ticker;
 import org.gentianwalk.gateway.store.RowStore.Result;
 import org.gentianwalk.gateway.store.RowStore.Row;
+import org.gentianwalk.gateway.store.TableAnnouncer;
 import org.gentianwalk.gateway.store.TableChanges;
 import org.gentianwalk.gateway.store.TableFeed;
 import org.gentianwalk.gateway.store.TableWatcher;
@@ -43,13 +44,6 @@
 
     private static final Duration PULL_TIMEOUT = Duration.ofMillis(700);
 
-    /**
-     * Size of the largest row that is broadcast, bytes. Larger rows, such as a configuration with
-     * many routes, are read from the store by each instance, since a reader's link could not carry
-     * them to all others in time.
-     */
-    private static final int MAX_ROW_BYTES = 4_096;
-
     private final MeshNode mMesh;
     private final Member mSelf;
     private final Executor mControl;
@@ -85,13 +79,16 @@
                                 }));
     }
 
-    /** State of one table: the version that was read, and the version that was broadcast. */
+    /** State of one table. */
     private static final class TableState {
-        long mSentVersion;
-        long mReadVersion;
+        final TableAnnouncer mAnnouncer;
         long mReadAt;
         long mSentAt;
         boolean mReachable;
+
+        TableState(String table) {
+            mAnnouncer = new TableAnnouncer(table);
+        }
     }
 
     void setWatchers(List<TableWatcher> watchers) {
@@ -121,27 +118,28 @@
     /** Sends the heartbeats that are due. Must be called at least every 50 ms. */
     void advance() {
         long now = mTicker.nanos();
-        mStates.forEach(
-                (table, state) -> {
-                    boolean publishes = mReader && state.mReachable;
-                    if (publishes
-                            && now - state.mReadAt < MAX_ANSWER_AGE_NANOS
-                            && now - state.mSentAt >= HEARTBEAT_NANOS) {
-                        publish(table, state, List.of());
-                    }
-                });
+        mStates.values()
+                .forEach(
+                        state -> {
+                            boolean publishes = mReader && state.mReachable;
+                            if (publishes
+                                    && now - state.mReadAt < MAX_ANSWER_AGE_NANOS
+                                    && now - state.mSentAt >= HEARTBEAT_NANOS) {
+                                publish(state, List.of());
+                            }
+                        });
     }
 
     @Override
-    public void reportRead(String table, long version, List<Row> rows) {
-        TableState state = mStates.computeIfAbsent(table, name -> new TableState());
-        state.mReadVersion = version;
+    public void reportRead(String table, long from, long to, List<Row> rows) {
+        TableState state = mStates.computeIfAbsent(table, TableState::new);
+        state.mAnnouncer.recordRead(from, to);
         state.mReadAt = mTicker.nanos();
         state.mReachable = true;
         if (!mReader) {
-            state.mSentVersion = version;
+            state.mAnnouncer.skip();
         } else if (!rows.isEmpty()) {
-            publish(table, state, rows);
+            publish(state, rows);
         }
     }
 
@@ -195,15 +193,9 @@
         return snapshot == null ? null : encode(snapshot);
     }
 
-    private void publish(String table, TableState state, List<Row> rows) {
-        boolean small = rows.stream().allMatch(row -> row.value().length <= MAX_ROW_BYTES);
-        long from = small ? state.mSentVersion : state.mReadVersion;
-        state.mSentVersion = state.mReadVersion;
+    private void publish(TableState state, List<Row> rows) {
         state.mSentAt = mTicker.nanos();
-        broadcast(
-                encode(
-                        new TableChanges(
-                                table, from, state.mReadVersion, small ? rows : List.of(), true)));
+        broadcast(encode(state.mAnnouncer.announce(rows)));
     }
 
     private void broadcast(TableNews news) {
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
@@ -167,11 +167,12 @@
                     readFrom(rows.rows().getLast().key() + "\0");
                     return;
                 }
+                long from = mMirror.version();
                 List<Row> changed = mMirror.applySnapshot(mReadRows, rows.version());
                 mReadRows.clear();
                 markReachable();
                 mListener.replaced(mMirror.rows());
-                mFeed.reportRead(mTable, mMirror.version(), changed);
+                mFeed.reportRead(mTable, from, rows.version(), changed);
                 poll();
             }
             case Result.HistoryLost lost -> callFailed("the store no longer holds the changes");
@@ -190,11 +191,12 @@
                     mControl.schedule(this::poll, READER_CHECK.toMillis(), TimeUnit.MILLISECONDS);
             return;
         }
-        mStore.changes(mTable, mMirror.version(), mTimes.longPoll(), mTimes.timeout())
-                .thenAcceptAsync(this::changesRead, mControl);
+        long since = mMirror.version();
+        mStore.changes(mTable, since, mTimes.longPoll(), mTimes.timeout())
+                .thenAcceptAsync(result -> changesRead(since, result), mControl);
     }
 
-    private void changesRead(Result result) {
+    private void changesRead(long since, Result result) {
         if (mStopped) {
             return;
         }
@@ -203,7 +205,7 @@
                 List<Row> changed = mMirror.applyChanges(rows.rows(), rows.version());
                 markReachable();
                 mListener.changed(changed);
-                mFeed.reportRead(mTable, mMirror.version(), rows.rows());
+                mFeed.reportRead(mTable, since, rows.version(), rows.rows());
                 Duration pause = rows.rows().isEmpty() ? Duration.ZERO : mTimes.pause();
                 mControl.schedule(this::poll, pause.toMillis(), TimeUnit.MILLISECONDS);
             }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherTest.java
@@ -195,7 +195,58 @@
         answer(new Result.HistoryLost());
         answer(new Result.Rows(List.of(row("c")), false, 50));
 
-        assertThat(mFeed.mLog).containsExactly("5 [a, b]", "50 [c, a, b]");
+        assertThat(mFeed.mLog).containsExactly("-1 to 5 [a, b]", "5 to 50 [c, a, b]");
+    }
+
+    /**
+     * A reader that was cut off from the store knows changes that it has not announced. Heartbeats
+     * must not state that nothing has changed since its last announcement.
+     */
+    @Test
+    void aHeartbeatDoesNotCoverChangesThatTheReaderReceivedFromAnotherInstance() {
+        Row old = row("a");
+        answer(new Result.Rows(List.of(old), false, 5));
+        mFeed.mAnnouncer.announce(List.of(old));
+        Row current = new Row("a", new byte[0], false, 6);
+        mFeed.mPulled = new Result.Rows(List.of(current), false, 6);
+        answer(new Result.Failed("away", false));
+        mControl.advance(Duration.ofMillis(600));
+        answer(new Result.Rows(List.of(current), false, 7));
+
+        TableChanges heartbeat = mFeed.mAnnouncer.announce(List.of());
+
+        assertThat(heartbeat.from()).as("a follower at version 5 must poll").isEqualTo(6);
+        assertThat(heartbeat.to()).isEqualTo(7);
+    }
+
+    /** A message of the other reader may be lost on the way to a follower. */
+    @Test
+    void anAnnouncementDoesNotCoverChangesThatAnotherReaderAnnounced() {
+        answer(new Result.Rows(List.of(row("a")), false, 5));
+        mFeed.mAnnouncer.announce(List.of());
+        Row second = row("b");
+        answer(new Result.Rows(List.of(second), false, 6));
+        mFeed.mAnnouncer.announce(List.of(second));
+        mWatcher.applyPeerChanges(changes(6, 8, new Row("c", new byte[0], false, 8)));
+        mControl.advance(Duration.ofMillis(100));
+        Row last = new Row("d", new byte[0], false, 9);
+        answer(new Result.Rows(List.of(last), false, 9));
+
+        assertThat(mFeed.mAnnouncer.announce(List.of(last)).from()).isEqualTo(8);
+    }
+
+    /** Followers that are up to date need no call to the store while nothing changes. */
+    @Test
+    void heartbeatsOfConsecutiveReadsLeaveNoGap() {
+        answer(new Result.Rows(List.of(row("a")), false, 5));
+        mFeed.mAnnouncer.announce(List.of());
+        answer(new Result.Rows(List.of(), false, 7));
+        answer(new Result.Rows(List.of(), false, 9));
+
+        TableChanges heartbeat = mFeed.mAnnouncer.announce(List.of());
+
+        assertThat(heartbeat.from()).isEqualTo(5);
+        assertThat(heartbeat.to()).isEqualTo(9);
     }
 
     private void answer(Result result) {
@@ -253,12 +304,14 @@
     /** Records reports of the watcher; its role and the table of another instance can be set. */
     private static final class RecordedFeed implements TableFeed {
         private final List<String> mLog = new ArrayList<>();
+        private final TableAnnouncer mAnnouncer = new TableAnnouncer("table");
         private boolean mReader = true;
         private Result mPulled = new Result.Failed("nobody", false);
 
         @Override
-        public void reportRead(String table, long version, List<Row> rows) {
-            mLog.add(version + " " + keys(rows));
+        public void reportRead(String table, long from, long to, List<Row> rows) {
+            mLog.add(from + " to " + to + " " + keys(rows));
+            mAnnouncer.recordRead(from, to);
         }
 
         @Override
