Follow a table from the version of its first page

A table of more than one page is read at a version for each page, and the copy counted as complete up to the version of the last one. A row of the first page that changed in between was missed until it changed again, for example an upstream that had left, or a configuration with a withdrawn key.

Change: the copy is complete up to the version of the first page, from which the changes are then read. The existing test of paged reads asserted the wrong call (changes from the last page's version) and now expects the version of the first page; nothing else in it changes.

Evidence: without the change, aChangeBetweenTheReadsOfTwoPagesIsNotMissed and the corrected test fail.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
@@ -41,6 +41,7 @@
     private final WatchTimes mTimes;
     private final TableMirror mMirror = new TableMirror();
     private final List<Row> mReadRows = new ArrayList<>();
+    private long mReadVersion;
     private Duration mBackoff = INITIAL_BACKOFF;
     private @Nullable Long mReaderHeardAt;
     private @Nullable ScheduledFuture<?> mNextPoll;
@@ -161,6 +162,10 @@
         }
         switch (result) {
             case Result.Rows rows -> {
+                if (mReadRows.isEmpty()) {
+                    // Changes between the reads of two pages may be missing from the first one.
+                    mReadVersion = rows.version();
+                }
                 mReadRows.addAll(rows.rows());
                 if (rows.more() && !rows.rows().isEmpty()) {
                     // The smallest key after the last one, in byte order.
@@ -168,11 +173,11 @@
                     return;
                 }
                 long from = mMirror.version();
-                List<Row> changed = mMirror.applySnapshot(mReadRows, rows.version());
+                List<Row> changed = mMirror.applySnapshot(mReadRows, mReadVersion);
                 mReadRows.clear();
                 markReachable();
                 mListener.replaced(mMirror.rows());
-                mFeed.reportRead(mTable, from, rows.version(), changed);
+                mFeed.reportRead(mTable, from, mReadVersion, changed);
                 poll();
             }
             case Result.HistoryLost lost -> callFailed("the store no longer holds the changes");
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherTest.java
@@ -68,7 +68,20 @@
 
         assertThat(mEvents).containsExactly("all [a, b]", "changed [c]");
         assertThat(mStore.mCalls)
-                .containsExactly("read ''", "read 'a\0'", "changes 6", "changes 9");
+                .containsExactly("read ''", "read 'a\0'", "changes 5", "changes 9");
+    }
+
+    /** Each page is read at a version of its own, so the first one may lack later changes. */
+    @Test
+    void aChangeBetweenTheReadsOfTwoPagesIsNotMissed() {
+        Row old = row("a");
+        answer(new Result.Rows(List.of(old), true, 5));
+        answer(new Result.Rows(List.of(row("b")), false, 7));
+        assertThat(mStore.mCalls).endsWith("changes 5");
+
+        answer(new Result.Rows(List.of(removed("a", 6)), false, 7));
+
+        assertThat(keys(mWatcher.snapshot().rows())).containsExactly("b");
     }
 
     @Test
