Count a request as executed when its reused connection was closed

Cause: when a reused connection closes without a response, a repeatable request is sent once more to the same address. A crashed engine refuses the new connection, and the attempt ended as never sent, although the first copy had been received. For the same reason a rejection of the second copy was reported as "not run".

Change: after such a resend, an attempt never ends as not executed: a refused connection is CRASHED, a failed one RESET, a rejection LOST.

Evidence: aRequestUnderWhichItsUpstreamCrashedCountsAsExecuted and aRequestThatWasSentTwiceIsNotReportedAsNotExecuted fail without the change.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/AttemptEnd.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/AttemptEnd.java
@@ -19,7 +19,9 @@
     /** Like {@link #LOST}, detected by a timeout without any response data. */
     SILENT,
     /** Like {@link #LOST}, with a connection reset that shows that the process has ended. */
-    RESET;
+    RESET,
+    /** Like {@link #RESET}, and nothing listens at the address any more. */
+    CRASHED;
 
     /**
      * Returns whether the attempt certainly did not execute the request.
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -133,7 +133,7 @@
         call.mTarget = null;
         switch (end) {
             case SUCCEEDED, ANSWERED_ERROR, REJECTED -> target.mReachability.recordSuccess();
-            case UNREACHABLE, NOT_LISTENING, RESET, LOST, SILENT ->
+            case UNREACHABLE, NOT_LISTENING, RESET, CRASHED, LOST, SILENT ->
                     target.mReachability.recordFailure(nowNanos);
             default -> target.mEnded = true;
         }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -197,14 +197,14 @@
         switch (end) {
             case SUCCEEDED, REJECTED -> engine.reachability().recordSuccess();
             case UNREACHABLE, SILENT -> mEngineView.recordFailure(engine, true, nowNanos);
-            case MISDIRECTED, NOT_LISTENING -> {
+            case MISDIRECTED, NOT_LISTENING, CRASHED -> {
                 // The listed process has ended; the list has not been updated yet.
                 mEngineView.recordFailure(engine, false, nowNanos);
                 engine.markEnded();
             }
             default -> mEngineView.recordFailure(engine, false, nowNanos);
         }
-        if (end == AttemptEnd.RESET) {
+        if (end == AttemptEnd.RESET || end == AttemptEnd.CRASHED) {
             recordLoss(run, engine, true, nowNanos);
         }
         endAttempt(run, end, end.name().toLowerCase(Locale.ROOT), nowNanos);
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -317,9 +317,14 @@
             }
             if (head.misdirected()) {
                 endAttempt(
-                        this, AttemptEnd.MISDIRECTED, "another upstream process has the address");
+                        this,
+                        mResent ? AttemptEnd.CRASHED : AttemptEnd.MISDIRECTED,
+                        "another upstream process has the address");
             } else if (head.notRun()) {
-                endAttempt(this, AttemptEnd.REJECTED, "status " + head.status() + ", not run");
+                endAttempt(
+                        this,
+                        mResent ? AttemptEnd.LOST : AttemptEnd.REJECTED,
+                        "status " + head.status() + ", not run");
             } else if (mStreaming) {
                 completeStream();
             } else if (head.isSuccess() && !head.signed()) {
@@ -347,10 +352,11 @@
                 send();
                 return;
             }
+            // The upstream may have executed the request on the connection that it closed.
             AttemptEnd end =
                     switch (failure) {
-                        case NOT_SENT -> AttemptEnd.UNREACHABLE;
-                        case REFUSED -> AttemptEnd.NOT_LISTENING;
+                        case NOT_SENT -> mResent ? AttemptEnd.RESET : AttemptEnd.UNREACHABLE;
+                        case REFUSED -> mResent ? AttemptEnd.CRASHED : AttemptEnd.NOT_LISTENING;
                         case BROKEN, STALE -> AttemptEnd.RESET;
                         case GARBLED -> AttemptEnd.LOST;
                     };
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -116,6 +116,30 @@
         assertThat(mControl.mLog).containsExactly("ended 1 RESET");
     }
 
+    /** An upstream that crashes closes its connections, and refuses new ones after that. */
+    @Test
+    void aRequestUnderWhichItsUpstreamCrashedCountsAsExecuted() {
+        Exchange exchange = exchange(RequestKind.IDEMPOTENT_CALL, 0);
+        start(exchange, 1, FIRST);
+        mSent.get(0).listener().onFailure(Failure.STALE, "closed");
+        mSent.get(1).listener().onFailure(Failure.REFUSED, "connection refused");
+
+        assertThat(mControl.mLog).containsExactly("ended 1 CRASHED");
+    }
+
+    /** A rejection answers the second copy of the request only. */
+    @Test
+    void aRequestThatWasSentTwiceIsNotReportedAsNotExecuted() {
+        Exchange exchange = exchange(RequestKind.IDEMPOTENT_CALL, 0);
+        start(exchange, 1, FIRST);
+        mSent.get(0).listener().onFailure(Failure.STALE, "closed");
+        UpstreamListener second = mSent.get(1).listener();
+        second.onHead(head(503, false, false, true), new DefaultHttpHeaders());
+        second.onComplete();
+
+        assertThat(mControl.mLog).containsExactly("ended 1 LOST");
+    }
+
     @Test
     void aStreamResumesOnAnotherUpstreamWithoutGapOrRepetition() {
         Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 0);
