--- a/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/InstanceModel.java
+++ b/gentianwalk-bench/src/main/java/org/gentianwalk/bench/fleet/InstanceModel.java
@@ -116,7 +116,8 @@
                         arrived + kind.deadlineMillis() * VirtualClock.MILLI,
                         kind.pauseMillis() * VirtualClock.MILLI,
                         5,
-                        request.events());
+                        request.events(),
+                        null);
         mOpen.put(request.id(), new OpenRequest(request));
         mScheduler.offer(work, mClock.now());
         runScheduler();
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -13,14 +13,19 @@
 import java.util.random.RandomGenerator;
 import org.gentianwalk.core.dispatch.Decision.Ending;
 import org.gentianwalk.core.model.Location.Distance;
+import org.gentianwalk.core.policy.PolicyOptions;
+import org.gentianwalk.core.policy.suspect.SuspectEntry;
+import org.gentianwalk.core.policy.suspect.SuspectTable;
+import org.gentianwalk.core.policy.suspect.SuspectTable.Verdict;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Assigns short calls to the upstreams of a plain service. A call is sent immediately and never
  * queued in the instance, since the wait in an upstream's own queue is shorter than a round trip
- * between instances.
+ * between instances. A call whose content crashes upstreams is not repeated and finally refused, at
+ * all instances.
  */
-public final class CallScheduler implements WorkScheduler {
+public final class CallScheduler implements WorkScheduler, PeerLoadAware {
     /** Maximum number of attempts for a call that no upstream has executed. */
     private static final int MAX_UNEXECUTED_ATTEMPTS = 4;
 
@@ -32,51 +37,54 @@
     /** Retry-after when all upstreams tried were full. */
     private static final Duration FULL_RETRY = Duration.ofMillis(150);
 
-    /** Round trip time between availability zones of a region, milliseconds. */
-    private static final double ZONE_ROUND_TRIP_MILLIS = 3;
+    /** Retry-after of a call that would crash an upstream; it has to be changed first. */
+    private static final Duration CONVICTED_RETRY = Duration.ofMinutes(1);
 
-    /** Round trip time between regions, milliseconds. */
-    private static final double REGION_ROUND_TRIP_MILLIS = 25;
+    /** Retry-after of a call until it is settled whether upstreams crashed because of it. */
+    private static final Duration PENDING_RETRY = Duration.ofSeconds(1);
 
-    /**
-     * Cost of a full upstream as a fraction of a call's duration; spreads load before queues form.
-     */
-    private static final double SPREAD_FRACTION = 0.3;
-
-    /** Time over which a load reported by an upstream decays linearly to zero. */
-    private static final long REPORTED_LOAD_NANOS = Duration.ofMillis(500).toNanos();
+    /** Number of upstreams that may be lost under one call. */
+    private static final int MAX_LOSSES = 2;
 
-    /** Cost of an upstream that has not answered since its last failure, milliseconds. */
-    private static final double FAILURE_COST_MILLIS = 100;
+    /** Time for which evidence is reported; covers the repetition of lost reports. */
+    private static final long SUSPECT_REPORT_NANOS = Duration.ofMillis(2_500).toNanos();
 
-    /** Cost of an upstream in backoff, or already tried for the call, milliseconds. */
-    private static final double LAST_RESORT_COST_MILLIS = 10_000;
+    private static final int MAX_SUSPECTS_REPORTED = 16;
 
     private static final double TIE_MILLIS = 0.5;
 
+    private final String mService;
     private final LocationMap mLocations;
     private final FleetRetryBudget mRetries;
     private final UpstreamLimits mLimits;
     private final RandomGenerator mRandom;
-    private final Map<String, Target> mTargets = new LinkedHashMap<>();
+    private final SuspectTable mSuspects =
+            new SuspectTable(
+                    PolicyOptions.defaults().retry(), SuspectTable.CONVICTING_CONTENT_LOSSES);
+    private final LossEvidence<CallTarget> mEvidence = new LossEvidence<>(mSuspects);
+    private final Map<String, CallTarget> mTargets = new LinkedHashMap<>();
     private final Map<Long, Call> mCalls = new HashMap<>();
     private List<Decision> mDecisions = new ArrayList<>();
     private final CallDuration mDuration = new CallDuration();
     private @Nullable Long mStopsAt;
+    private long mEvidenceChanges;
 
     /**
      * Creates a scheduler without upstreams.
      *
+     * @param service name of the service
      * @param locations distances from this instance
      * @param retries retry budget of the service
      * @param limits limits stated by upstreams
      * @param random source of randomness for breaking ties
      */
     public CallScheduler(
+            String service,
             LocationMap locations,
             FleetRetryBudget retries,
             UpstreamLimits limits,
             RandomGenerator random) {
+        mService = service;
         mLocations = locations;
         mRetries = retries;
         mLimits = limits;
@@ -85,17 +93,19 @@
 
     @Override
     public void replaceUpstreams(Collection<Upstream> upstreams, long nowNanos) {
-        Set<String> listed = new HashSet<>();
+        Map<String, CallTarget> before = new HashMap<>(mTargets);
+        mTargets.clear();
         for (Upstream upstream : upstreams) {
-            listed.add(upstream.id());
-            Target known = mTargets.get(upstream.id());
-            if (known != null && known.mUpstream.isSameProcess(upstream)) {
-                known.mUpstream = upstream;
+            CallTarget known = before.get(upstream.id());
+            if (known != null && known.upstream().isSameProcess(upstream)) {
+                known.upstream(upstream);
+                before.remove(upstream.id());
+                mTargets.put(upstream.id(), known);
             } else {
-                mTargets.put(upstream.id(), new Target(upstream));
+                mTargets.put(upstream.id(), new CallTarget(upstream));
             }
         }
-        mTargets.keySet().retainAll(listed);
+        before.values().forEach(CallTarget::markReplaced);
     }
 
     @Override
@@ -117,9 +127,7 @@
         if (call == null || call.mTarget == null) {
             return;
         }
-        Target target = call.mTarget;
-        target.mPeerRequests = Math.max(0, load.running() + load.waiting() - target.mRunning);
-        target.mReportedAt = nowNanos;
+        call.mTarget.recordLoad(load, nowNanos);
     }
 
     @Override
@@ -128,15 +136,11 @@
         if (call == null || call.mAttempt != attempt || call.mTarget == null) {
             return;
         }
-        Target target = call.mTarget;
-        target.mRunning--;
+        CallTarget target = call.mTarget;
         call.mTarget = null;
-        switch (end) {
-            case SUCCEEDED, ANSWERED_ERROR, REJECTED -> target.mReachability.recordSuccess();
-            case UNREACHABLE, NOT_LISTENING, RESET, CRASHED, LOST, SILENT ->
-                    target.mReachability.recordFailure(nowNanos);
-            default -> target.mEnded = true;
-        }
+        target.release();
+        target.recordEnd(end, nowNanos);
+        recordEvidence(call, target, end, nowNanos);
         if (end == AttemptEnd.SUCCEEDED) {
             mDuration.record(nowNanos - call.mStartedAt);
             mCalls.remove(work);
@@ -151,7 +155,7 @@
     public void remove(long work, long nowNanos) {
         Call call = mCalls.remove(work);
         if (call != null && call.mTarget != null) {
-            call.mTarget.mRunning--;
+            call.mTarget.release();
         }
     }
 
@@ -165,6 +169,9 @@
         if (mStopsAt != null && nowNanos - mStopsAt >= 0) {
             List.copyOf(mCalls.values()).forEach(call -> finishStopping(call, nowNanos));
         }
+        if (mEvidence.advance(nowNanos)) {
+            mEvidenceChanges++;
+        }
         List<Call> expired = new ArrayList<>();
         for (Call call : mCalls.values()) {
             if (nowNanos - call.mWork.deadlineNanos() >= 0) {
@@ -174,7 +181,7 @@
         for (Call call : expired) {
             Ending ending = call.mTarget == null ? Ending.REFUSED : Ending.TIMED_OUT;
             if (call.mTarget != null) {
-                call.mTarget.mReachability.recordFailure(nowNanos);
+                call.mTarget.recordTimeout(nowNanos);
             }
             finish(call, ending, Duration.ZERO, "deadline exceeded", nowNanos);
         }
@@ -183,6 +190,53 @@
         return decisions;
     }
 
+    @Override
+    public boolean hasLoad(long nowNanos) {
+        return !suspectsToReport(nowNanos).isEmpty();
+    }
+
+    @Override
+    public InstanceLoad load(long nowNanos) {
+        // The load itself is reported by the upstreams in their answers.
+        return new InstanceLoad(
+                mService,
+                mEvidenceChanges,
+                List.of(),
+                0,
+                List.of(),
+                new FleetRetryBudget.Usage(0, 0),
+                suspectsToReport(nowNanos));
+    }
+
+    private List<SuspectEntry> suspectsToReport(long nowNanos) {
+        return mSuspects.entries(SUSPECT_REPORT_NANOS, MAX_SUSPECTS_REPORTED, nowNanos);
+    }
+
+    @Override
+    public long loadChanges() {
+        return mEvidenceChanges;
+    }
+
+    @Override
+    public void recordPeerLoad(String instance, InstanceLoad load, long nowNanos) {
+        mSuspects.merge(load.suspects(), nowNanos);
+    }
+
+    @Override
+    public void updatePeers(PeerView peers) {
+        // Evidence remains valid when the instance that observed it has ended.
+    }
+
+    /** Records what the end of an attempt shows about whether the call crashes upstreams. */
+    private void recordEvidence(Call call, CallTarget target, AttemptEnd end, long nowNanos) {
+        if (end == AttemptEnd.RESET || end == AttemptEnd.CRASHED) {
+            call.mLosses++;
+            mEvidence.recordLoss(target, call.mSubject, true, nowNanos);
+        } else if (end == AttemptEnd.SUCCEEDED || end == AttemptEnd.ANSWERED_ERROR) {
+            mEvidenceChanges += mEvidence.recordOutput(call.mSubject, nowNanos) ? 1 : 0;
+        }
+    }
+
     private void handleNotExecuted(Call call, AttemptEnd end, long nowNanos) {
         call.mUnexecutedAttempts++;
         boolean retry = call.mUnexecutedAttempts < MAX_UNEXECUTED_ATTEMPTS;
@@ -204,6 +258,8 @@
         boolean answered = end == AttemptEnd.ANSWERED_ERROR;
         boolean retry =
                 call.mWork.kind().isRepeatable()
+                        && call.mLosses < MAX_LOSSES
+                        && verdict(call, nowNanos) == Verdict.UNKNOWN
                         && call.mExecutions < call.mWork.maxAttempts()
                         && hasUntriedTarget(call, nowNanos)
                         && mRetries.tryRetry(nowNanos);
@@ -217,8 +273,8 @@
     }
 
     private boolean hasUntriedTarget(Call call, long nowNanos) {
-        Target best = chooseTarget(call, nowNanos);
-        return best != null && !call.mTried.contains(best.mUpstream.id());
+        CallTarget best = chooseTarget(call, nowNanos);
+        return best != null && !call.mTried.contains(best.upstream().id());
     }
 
     /**
@@ -231,7 +287,17 @@
             finishStopping(call, nowNanos);
             return false;
         }
-        Target target = chooseTarget(call, nowNanos);
+        Verdict verdict = verdict(call, nowNanos);
+        if (verdict == Verdict.CONVICTED || verdict == Verdict.PENDING) {
+            finish(
+                    call,
+                    call.mExecutions == 0 ? Ending.REFUSED : Ending.UNKNOWN,
+                    verdict == Verdict.CONVICTED ? CONVICTED_RETRY : PENDING_RETRY,
+                    "upstreams were lost under calls with the same content",
+                    nowNanos);
+            return false;
+        }
+        CallTarget target = chooseTarget(call, nowNanos);
         if (target == null) {
             Ending ending = call.mExecutions == 0 ? Ending.REFUSED : Ending.UNKNOWN;
             Duration limitWait = shortestLimitWait(nowNanos);
@@ -245,14 +311,14 @@
         call.mAttempt++;
         call.mTarget = target;
         call.mStartedAt = nowNanos;
-        call.mTried.add(target.mUpstream.id());
-        target.mRunning++;
-        mLimits.recordSent(target.mUpstream, nowNanos);
+        call.mTried.add(target.upstream().id());
+        target.recordStart();
+        mLimits.recordSent(target.upstream(), nowNanos);
         mDecisions.add(
                 new Decision.Start(
                         call.mWork,
                         call.mAttempt,
-                        target.mUpstream,
+                        target.upstream(),
                         -1,
                         null,
                         null,
@@ -280,11 +346,15 @@
                 nowNanos);
     }
 
-    private @Nullable Target chooseTarget(Call call, long nowNanos) {
-        Target best = null;
+    private Verdict verdict(Call call, long nowNanos) {
+        return mEvidence.verdict(call.mSubject, nowNanos);
+    }
+
+    private @Nullable CallTarget chooseTarget(Call call, long nowNanos) {
+        CallTarget best = null;
         double bestCost = 0;
-        for (Target target : mTargets.values()) {
-            if (!target.isUsable() || !mLimits.isPermitted(target.mUpstream, nowNanos)) {
+        for (CallTarget target : mTargets.values()) {
+            if (!target.isUsable() || !mLimits.isPermitted(target.upstream(), nowNanos)) {
                 continue;
             }
             double cost = cost(target, call, nowNanos);
@@ -302,11 +372,11 @@
      */
     private @Nullable Duration shortestLimitWait(long nowNanos) {
         Duration shortest = null;
-        for (Target target : mTargets.values()) {
+        for (CallTarget target : mTargets.values()) {
             if (!target.isUsable()) {
                 continue;
             }
-            OptionalLong wait = mLimits.waitNanos(target.mUpstream, nowNanos);
+            OptionalLong wait = mLimits.waitNanos(target.upstream(), nowNanos);
             Duration retry = wait.isEmpty() ? FULL_RETRY : Duration.ofNanos(wait.getAsLong());
             if (shortest == null || retry.compareTo(shortest) < 0) {
                 shortest = retry;
@@ -315,68 +385,23 @@
         return shortest == null || shortest.compareTo(FULL_RETRY) > 0 ? shortest : FULL_RETRY;
     }
 
-    /** Returns the expected wait of a call on top of its own duration, milliseconds. */
-    private double cost(Target target, Call call, long nowNanos) {
-        int slots = target.mUpstream.slots();
-        double load = target.mRunning + target.peerRequests(nowNanos);
-        double callMillis = mDuration.meanMillis();
-        double wait = Math.max(0, load + 1 - slots) / slots * callMillis;
-        double cost = wait + SPREAD_FRACTION * callMillis * load / slots;
-        cost += roundTripMillis(mLocations.distance(target.mUpstream.zone()));
+    /** Returns the cost of a target, milliseconds; ties are broken at random. */
+    private double cost(CallTarget target, Call call, long nowNanos) {
+        Distance distance = mLocations.distance(target.upstream().zone());
+        double cost = target.cost(mDuration.meanMillis(), distance, nowNanos);
         cost += TIE_MILLIS * mRandom.nextDouble();
-        if (target.mReachability.isFailing()) {
-            cost += FAILURE_COST_MILLIS;
-        }
-        if (target.mReachability.isBackingOff(nowNanos)) {
-            cost += LAST_RESORT_COST_MILLIS;
-        }
-        if (call.mTried.contains(target.mUpstream.id())) {
-            cost += LAST_RESORT_COST_MILLIS;
+        if (call.mTried.contains(target.upstream().id())) {
+            cost += CallTarget.LAST_RESORT_COST_MILLIS;
         }
         return cost;
     }
 
-    private static double roundTripMillis(Distance distance) {
-        return switch (distance) {
-            case SAME_ZONE -> 0;
-            case SAME_REGION -> ZONE_ROUND_TRIP_MILLIS;
-            case OTHER_REGION -> REGION_ROUND_TRIP_MILLIS;
-        };
-    }
-
     private void finish(
             Call call, Ending ending, Duration retryAfter, String reason, long nowNanos) {
         mDecisions.add(new Decision.Finish(call.mWork, ending, retryAfter, reason));
         remove(call.mWork.id(), nowNanos);
     }
 
-    /** State of an upstream. */
-    private static final class Target {
-        Upstream mUpstream;
-        int mRunning;
-        int mPeerRequests;
-        long mReportedAt;
-
-        /** Whether the process has ended although it is still listed. */
-        boolean mEnded;
-
-        final Reachability mReachability = new Reachability();
-
-        Target(Upstream upstream) {
-            mUpstream = upstream;
-        }
-
-        boolean isUsable() {
-            return !mEnded && !mUpstream.draining();
-        }
-
-        /** Returns the estimated number of requests from other instances. */
-        double peerRequests(long nowNanos) {
-            double left = 1 - (double) (nowNanos - mReportedAt) / REPORTED_LOAD_NANOS;
-            return mPeerRequests * Math.max(0, left);
-        }
-    }
-
     /** State of a call. */
     private static final class Call {
         final Work mWork;
@@ -384,11 +409,14 @@
         int mAttempt;
         long mStartedAt;
         int mUnexecutedAttempts;
+        final SuspectSubject mSubject;
         int mExecutions;
-        @Nullable Target mTarget;
+        int mLosses;
+        @Nullable CallTarget mTarget;
 
         Call(Work work) {
             mWork = work;
+            mSubject = SuspectSubject.ofCall(work);
         }
     }
 }
--- /dev/null
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
@@ -0,0 +1,142 @@
+package org.gentianwalk.core.dispatch;
+
+import java.time.Duration;
+import org.gentianwalk.core.model.Location.Distance;
+import org.jspecify.annotations.Nullable;
+
+/** State of one process of an upstream of a plain service. */
+final class CallTarget implements LossEvidence.ObservedProcess {
+    /** Round trip time between availability zones of a region, milliseconds. */
+    private static final double ZONE_ROUND_TRIP_MILLIS = 3;
+
+    /** Round trip time between regions, milliseconds. */
+    private static final double REGION_ROUND_TRIP_MILLIS = 25;
+
+    /**
+     * Cost of a full upstream as a fraction of a call's duration; spreads load before queues form.
+     */
+    private static final double SPREAD_FRACTION = 0.3;
+
+    /** Time over which a load reported by an upstream decays linearly to zero. */
+    private static final long REPORTED_LOAD_NANOS = Duration.ofMillis(500).toNanos();
+
+    /** Cost of an upstream that has not answered since its last failure, milliseconds. */
+    private static final double FAILURE_COST_MILLIS = 100;
+
+    /** Cost of an upstream in backoff, or already tried for the call, milliseconds. */
+    static final double LAST_RESORT_COST_MILLIS = 10_000;
+
+    private Upstream mUpstream;
+    private final Reachability mReachability = new Reachability();
+    private int mRunning;
+    private int mPeerRequests;
+    private long mReportedAt;
+    private boolean mReplaced;
+    private boolean mNotListening;
+    private @Nullable Long mAnsweredAt;
+
+    CallTarget(Upstream upstream) {
+        mUpstream = upstream;
+    }
+
+    @Override
+    public Upstream upstream() {
+        return mUpstream;
+    }
+
+    void upstream(Upstream upstream) {
+        mUpstream = upstream;
+    }
+
+    /** Returns whether calls may be sent to the process. */
+    boolean isUsable() {
+        return !mReplaced && !mUpstream.draining();
+    }
+
+    /** Records that the process has ended, although it may still be listed. */
+    void markReplaced() {
+        mReplaced = true;
+    }
+
+    @Override
+    public boolean hasEnded() {
+        return mReplaced || mNotListening;
+    }
+
+    @Override
+    public boolean isAliveSince(long nanos) {
+        return mAnsweredAt != null && mAnsweredAt - nanos >= 0;
+    }
+
+    @Override
+    public boolean isCheckedSince(long nanos) {
+        // Plain services are not checked: a check would wait for a slot like a call.
+        return false;
+    }
+
+    void recordStart() {
+        mRunning++;
+    }
+
+    void release() {
+        mRunning--;
+    }
+
+    /** Records the end of a call, which {@link #release} has been called for. */
+    void recordEnd(AttemptEnd end, long nowNanos) {
+        switch (end) {
+            case SUCCEEDED, ANSWERED_ERROR, REJECTED -> {
+                mReachability.recordSuccess();
+                mNotListening = false;
+                mAnsweredAt = nowNanos;
+            }
+            case NOT_LISTENING, CRASHED -> {
+                // The process may have been started again before the list shows it.
+                mReachability.recordFailure(nowNanos);
+                mNotListening = true;
+            }
+            case UNREACHABLE, RESET, LOST, SILENT -> mReachability.recordFailure(nowNanos);
+            case MISDIRECTED -> mReplaced = true;
+        }
+    }
+
+    /** Records that a call was not answered by its deadline. */
+    void recordTimeout(long nowNanos) {
+        mReachability.recordFailure(nowNanos);
+    }
+
+    void recordLoad(UpstreamLoad load, long nowNanos) {
+        mPeerRequests = Math.max(0, load.running() + load.waiting() - mRunning);
+        mReportedAt = nowNanos;
+    }
+
+    /** Returns the expected wait of a call on top of its own duration, milliseconds. */
+    double cost(double callMillis, Distance distance, long nowNanos) {
+        int slots = mUpstream.slots();
+        double load = mRunning + peerRequests(nowNanos);
+        double wait = Math.max(0, load + 1 - slots) / slots * callMillis;
+        double cost = wait + SPREAD_FRACTION * callMillis * load / slots;
+        cost += roundTripMillis(distance);
+        if (mReachability.isFailing()) {
+            cost += FAILURE_COST_MILLIS;
+        }
+        if (mReachability.isBackingOff(nowNanos)) {
+            cost += LAST_RESORT_COST_MILLIS;
+        }
+        return cost;
+    }
+
+    /** Returns the estimated number of requests from other instances. */
+    private double peerRequests(long nowNanos) {
+        double left = 1 - (double) (nowNanos - mReportedAt) / REPORTED_LOAD_NANOS;
+        return mPeerRequests * Math.max(0, left);
+    }
+
+    private static double roundTripMillis(Distance distance) {
+        return switch (distance) {
+            case SAME_ZONE -> 0;
+            case SAME_REGION -> ZONE_ROUND_TRIP_MILLIS;
+            case OTHER_REGION -> REGION_ROUND_TRIP_MILLIS;
+        };
+    }
+}
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineState.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineState.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 
 /** State of one process of an engine: its load from all instances and its liveness. */
-final class EngineState {
+final class EngineState implements LossEvidence.ObservedProcess {
     static final long NANOS_PER_MILLI = 1_000_000L;
 
     private static final Comparator<Prefill> BY_START =
@@ -61,7 +61,8 @@
 
     private record Prefill(long startedNanos, int prompt) {}
 
-    Upstream upstream() {
+    @Override
+    public Upstream upstream() {
         return mUpstream;
     }
 
@@ -117,7 +118,8 @@
     }
 
     /** Returns whether the last liveness check started at or after a time. */
-    boolean isCheckedSince(long nanos) {
+    @Override
+    public boolean isCheckedSince(long nanos) {
         return mHasCheck && mCheckedAt - nanos >= 0;
     }
 
@@ -126,7 +128,8 @@
         mEnded = true;
     }
 
-    boolean hasEnded() {
+    @Override
+    public boolean hasEnded() {
         return mEnded;
     }
 
@@ -165,7 +168,8 @@
     }
 
     /** Returns whether the engine has produced output or responded to a check since a time. */
-    boolean isAliveSince(long nanos) {
+    @Override
+    public boolean isAliveSince(long nanos) {
         return mHasSign && mLastSign - nanos >= 0;
     }
 
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
@@ -6,66 +6,91 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.gentianwalk.core.model.Fingerprint;
 import org.gentianwalk.core.policy.suspect.SuspectTable;
 import org.gentianwalk.core.policy.suspect.SuspectTable.Verdict;
 
 /**
- * Collects the engine losses that may have been caused by the generations that ran there. A closed
- * connection alone does not show that an engine was lost. A loss counts once the process is known
- * to have ended, or does not respond to a check after it.
+ * Collects the losses of upstreams that may have been caused by the requests that ran there. A
+ * closed connection alone does not show that an upstream was lost. A loss counts once the process
+ * is known to have ended, or does not respond to a check after it.
+ *
+ * @param <P> processes of upstreams
  */
-final class LossEvidence {
+final class LossEvidence<P extends LossEvidence.ObservedProcess> {
     /** Time after which a loss that was not confirmed is dropped. */
     private static final long MAX_CONFIRMATION_NANOS = Duration.ofSeconds(10).toNanos();
 
     /**
-     * Minimum time between a loss and output that shows that the engine lives. Output from before
+     * Minimum time between a loss and output that shows that the process lives. Output from before
      * the loss may be reported by other instances with a delay.
      */
     private static final long REPORT_DELAY_NANOS = Duration.ofMillis(250).toNanos();
 
     private final SuspectTable mSuspects;
-    private final List<Loss> mUnconfirmed = new ArrayList<>();
+    private final List<Loss<P>> mUnconfirmed = new ArrayList<>();
 
     LossEvidence(SuspectTable suspects) {
         mSuspects = suspects;
     }
 
+    /** One process of an upstream, as far as this instance has observed it. */
+    interface ObservedProcess {
+        /** Returns its entry on the list. */
+        Upstream upstream();
+
+        /** Returns whether the process is known to have ended. */
+        boolean hasEnded();
+
+        /** Returns whether the process has shown a sign of life since a time. */
+        boolean isAliveSince(long nanos);
+
+        /** Returns whether the last liveness check started at or after a time. */
+        boolean isCheckedSince(long nanos);
+    }
+
     /**
-     * A generation that had no output yet when its engine may have been lost.
+     * A request that had no output yet when its upstream may have been lost.
      *
-     * @param engine the engine process
-     * @param subject the generation
-     * @param closed true when the connection was closed, false when the engine did not respond
+     * @param process the upstream's process
+     * @param subject the request
+     * @param closed true when the connection was closed, false when the upstream did not respond
      * @param atNanos time of the loss
      */
-    private record Loss(EngineState engine, SuspectSubject subject, boolean closed, long atNanos) {}
+    private record Loss<P>(P process, SuspectSubject subject, boolean closed, long atNanos) {}
 
-    /** Records that an attempt without output has lost its engine. */
-    void recordLoss(EngineState engine, SuspectSubject subject, boolean closed, long nowNanos) {
+    /** Records that an attempt without output has lost its upstream. */
+    void recordLoss(P process, SuspectSubject subject, boolean closed, long nowNanos) {
         if (subject.isKnown()) {
-            mUnconfirmed.add(new Loss(engine, subject, closed, nowNanos));
+            mUnconfirmed.add(new Loss<>(process, subject, closed, nowNanos));
         }
     }
 
-    /** Records that an attempt has produced output. */
-    void recordOutput(SuspectSubject subject, long nowNanos) {
+    /**
+     * Records that an attempt has produced output.
+     *
+     * @return whether evidence was dropped because of it
+     */
+    boolean recordOutput(SuspectSubject subject, long nowNanos) {
         if (!subject.isKnown()) {
-            return;
+            return false;
+        }
+        boolean dropped = mSuspects.clear(subject.request(), nowNanos);
+        for (Fingerprint part : subject.parts()) {
+            dropped |= mSuspects.clear(part, nowNanos);
         }
-        mSuspects.clear(subject.request(), nowNanos);
-        subject.parts().forEach(part -> mSuspects.clear(part, nowNanos));
+        return dropped;
     }
 
-    /** Returns the engines that should be checked to confirm a loss. */
-    Set<EngineState> enginesToCheck() {
-        Set<EngineState> engines = new LinkedHashSet<>();
-        for (Loss loss : mUnconfirmed) {
+    /** Returns the processes that should be checked to confirm a loss. */
+    Set<P> processesToCheck() {
+        Set<P> processes = new LinkedHashSet<>();
+        for (Loss<P> loss : mUnconfirmed) {
             if (loss.closed()) {
-                engines.add(loss.engine());
+                processes.add(loss.process());
             }
         }
-        return engines;
+        return processes;
     }
 
     /**
@@ -74,9 +99,9 @@
      *
      * @return whether a loss was confirmed
      */
-    boolean recordCheck(EngineState engine, boolean responded) {
-        Predicate<Loss> isChecked =
-                loss -> loss.engine() == engine && engine.isCheckedSince(loss.atNanos());
+    boolean recordCheck(P process, boolean responded) {
+        Predicate<Loss<P>> isChecked =
+                loss -> loss.process() == process && process.isCheckedSince(loss.atNanos());
         if (responded) {
             mUnconfirmed.removeIf(isChecked);
             return false;
@@ -85,8 +110,8 @@
     }
 
     /**
-     * Confirms the losses of engines that are known to have ended, and drops those of engines that
-     * live or about which nothing becomes known.
+     * Confirms the losses of processes that are known to have ended, and drops those of processes
+     * that live or about which nothing becomes known.
      *
      * @return whether a loss was confirmed
      */
@@ -96,9 +121,9 @@
         }
         mUnconfirmed.removeIf(
                 loss ->
-                        loss.engine().isAliveSince(loss.atNanos() + REPORT_DELAY_NANOS)
+                        loss.process().isAliveSince(loss.atNanos() + REPORT_DELAY_NANOS)
                                 || nowNanos - loss.atNanos() > MAX_CONFIRMATION_NANOS);
-        return confirm(loss -> loss.engine().hasEnded());
+        return confirm(loss -> loss.process().hasEnded());
     }
 
     Verdict verdict(SuspectSubject subject, long nowNanos) {
@@ -107,13 +132,13 @@
                 : Verdict.UNKNOWN;
     }
 
-    private boolean confirm(Predicate<Loss> isConfirmed) {
-        List<Loss> confirmed = mUnconfirmed.stream().filter(isConfirmed).toList();
-        for (Loss loss : confirmed) {
+    private boolean confirm(Predicate<Loss<P>> isConfirmed) {
+        List<Loss<P>> confirmed = mUnconfirmed.stream().filter(isConfirmed).toList();
+        for (Loss<P> loss : confirmed) {
             mSuspects.recordLoss(
                     loss.subject().request(),
                     loss.subject().parts(),
-                    loss.engine().upstream().process(),
+                    loss.process().upstream().process(),
                     loss.atNanos());
         }
         mUnconfirmed.removeAll(confirmed);
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/PeerLoadAware.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/PeerLoadAware.java
@@ -8,6 +8,17 @@
      */
     int WIDE_FLEET = 24;
 
+    /**
+     * Returns whether there is a load to report. An empty one is reported, too, where it replaces
+     * an earlier one.
+     *
+     * @param nowNanos current time
+     * @return false when a report would change nothing at other instances
+     */
+    default boolean hasLoad(long nowNanos) {
+        return true;
+    }
+
     /**
      * Returns the load of this instance.
      *
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -66,7 +66,7 @@
     private final EngineSpeed mSpeed = new EngineSpeed();
     private final SuspectTable mSuspects = new SuspectTable(PolicyOptions.defaults().retry());
     private final EngineView mEngineView = new EngineView(mSuspects);
-    private final LossEvidence mEvidence = new LossEvidence(mSuspects);
+    private final LossEvidence<EngineState> mEvidence = new LossEvidence<>(mSuspects);
     private final EngineSelector mSelector;
     private final LossDetector mLossDetector;
     private final Map<Long, StreamRun> mRuns = new HashMap<>();
@@ -273,7 +273,9 @@
     @Override
     public List<Decision> advance(long nowNanos) {
         boolean stops = mStopsAt != null && nowNanos - mStopsAt >= 0;
-        mEvidence.enginesToCheck().forEach(engine -> mLossDetector.requestCheck(engine, nowNanos));
+        mEvidence
+                .processesToCheck()
+                .forEach(engine -> mLossDetector.requestCheck(engine, nowNanos));
         if (mEvidence.advance(nowNanos)) {
             mLoadChanges++;
         }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/SuspectSubject.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/SuspectSubject.java
@@ -7,11 +7,11 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * What a lost engine may be attributed to: a request, or a part of its prompt that other requests
- * may share.
+ * What a lost upstream may be attributed to: a request, or what it shares with other requests,
+ * which is a part of its prompt, or the content of a plain call.
  *
- * @param request fingerprint of the request, from the last part of its prompt
- * @param parts fingerprints of the other parts
+ * @param request fingerprint of the request; of a generation, from the last part of its prompt
+ * @param parts fingerprints of the other parts, or of the content
  * @param isKnown false when the prompt has no parts, so that nothing can be attributed
  */
 record SuspectSubject(Fingerprint request, List<Fingerprint> parts, boolean isKnown) {
@@ -22,6 +22,16 @@
         parts = List.copyOf(parts);
     }
 
+    /** Returns the subject of a call; others with the same content are repetitions of it. */
+    static SuspectSubject ofCall(Work work) {
+        Fingerprint content = work.content();
+        if (content == null) {
+            return UNKNOWN;
+        }
+        Fingerprint request = new Fingerprint(content.high(), Rendezvous.hash(work.requestId()));
+        return new SuspectSubject(request, List.of(content), true);
+    }
+
     static SuspectSubject of(@Nullable GenerationShape shape) {
         if (shape == null || shape.parts().isEmpty()) {
             return UNKNOWN;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/Work.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/Work.java
@@ -1,5 +1,6 @@
 package org.gentianwalk.core.dispatch;
 
+import org.gentianwalk.core.model.Fingerprint;
 import org.gentianwalk.core.route.RequestKind;
 import org.jspecify.annotations.Nullable;
 
@@ -19,6 +20,7 @@
  * @param maxPauseNanos target for the longest pause between events, nanoseconds; 0 for calls
  * @param maxAttempts maximum number of attempts that may execute it
  * @param eventsSeen number of events that the caller already has; positive for a resumed stream
+ * @param content fingerprint of team, method, path and body of a plain call, or null
  */
 public record Work(
         long id,
@@ -33,4 +35,5 @@
         long deadlineNanos,
         long maxPauseNanos,
         int maxAttempts,
-        long eventsSeen) {}
+        long eventsSeen,
+        @Nullable Fingerprint content) {}
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/model/Prompt.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/model/Prompt.java
@@ -1,8 +1,6 @@
 package org.gentianwalk.core.model;
 
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -52,17 +50,10 @@
      * @return the first 128 bits of the SHA-256 of team, model and text
      */
     public Fingerprint fingerprint(String team, String model) {
-        try {
-            MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            for (String part : List.of(team, model, text)) {
-                digest.update(part.getBytes(StandardCharsets.UTF_8));
-                digest.update((byte) 0);
-            }
-            java.nio.ByteBuffer bytes = java.nio.ByteBuffer.wrap(digest.digest());
-            return new Fingerprint(bytes.getLong(), bytes.getLong());
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform supports SHA-256", e);
-        }
+        return Fingerprint.of(
+                team.getBytes(StandardCharsets.UTF_8),
+                model.getBytes(StandardCharsets.UTF_8),
+                text.getBytes(StandardCharsets.UTF_8));
     }
 
     private static long fnv1a(long seed, String text, int from, int to) {
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/SuspectTable.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/SuspectTable.java
@@ -17,18 +17,24 @@
  * <p>A loss is pending for one second, in which a failure of the whole zone or a success elsewhere
  * would show, and then counts. Two counted losses convict a request, which is then not run again.
  *
- * <p>A part is convicted by three separate losses under at least two requests without a success of
- * any request with the part in between. Requests with a crashing part usually share other parts as
- * well. A part all of whose losses are also losses of another part therefore only counts against
+ * <p>A part is convicted by several separate losses under at least two requests without a success
+ * of any request with the part in between. Requests with a crashing part usually share other parts
+ * as well. A part all of whose losses are also losses of another part therefore only counts against
  * requests that have both.
  */
 public final class SuspectTable {
     /** Number of losses that convict a request. */
     public static final int CONVICTING_LOSSES = 2;
 
-    /** Number of separate losses that convict a part. */
+    /** Number of separate losses that convict a part of a prompt. */
     static final int CONVICTING_PART_LOSSES = 3;
 
+    /**
+     * Number of separate losses that convict the content of plain calls. A call is short, so that
+     * hardly ever another call than the crashing one loses two upstreams.
+     */
+    public static final int CONVICTING_CONTENT_LOSSES = 2;
+
     /** Number of requests whose losses convict a part. */
     private static final int CONVICTING_REQUESTS = 2;
 
@@ -45,6 +51,7 @@
     private static final int INT_BITS = 32;
 
     private final PolicyOptions.Retry mOptions;
+    private final int mConvictingPartLosses;
     private final ZoneLosses mZones = new ZoneLosses();
     private final LinkedHashMap<Integer, String> mZoneOfEngine = new LinkedHashMap<>();
     private final LinkedHashMap<Fingerprint, Suspect> mSuspects = new LinkedHashMap<>();
@@ -58,7 +65,18 @@
      * @param options bounds and lifetimes
      */
     public SuspectTable(PolicyOptions.Retry options) {
+        this(options, CONVICTING_PART_LOSSES);
+    }
+
+    /**
+     * Creates an empty table.
+     *
+     * @param options bounds and lifetimes
+     * @param convictingPartLosses number of separate losses that convict what requests share
+     */
+    public SuspectTable(PolicyOptions.Retry options, int convictingPartLosses) {
         mOptions = options;
+        mConvictingPartLosses = convictingPartLosses;
     }
 
     /**
@@ -120,18 +138,21 @@
      *
      * @param fingerprint the request or the part
      * @param nowNanos current time
+     * @return whether losses were dropped
      */
-    public void clear(Fingerprint fingerprint, long nowNanos) {
+    public boolean clear(Fingerprint fingerprint, long nowNanos) {
         mSuccesses.remove(fingerprint);
         mSuccesses.put(fingerprint, nowNanos);
         if (mSuccesses.size() > MAX_SUCCESSES) {
             mSuccesses.pollFirstEntry();
         }
         Suspect suspect = mSuspects.get(fingerprint);
-        if (suspect != null && !suspect.losses().isEmpty()) {
-            clear(suspect, nowNanos);
-            suspect.recordObservation(nowNanos);
+        if (suspect == null || suspect.losses().isEmpty()) {
+            return false;
         }
+        clear(suspect, nowNanos);
+        suspect.recordObservation(nowNanos);
+        return true;
     }
 
     private void clear(Suspect suspect, long atNanos) {
@@ -198,12 +219,12 @@
                 || isExplainedByAbsentPart(suspect, parts)) {
             return Verdict.UNKNOWN;
         }
-        if (suspect.countEvents(EVENT_NANOS, nowNanos) < CONVICTING_PART_LOSSES) {
+        if (suspect.countEvents(EVENT_NANOS, nowNanos) < mConvictingPartLosses) {
             return Verdict.SUSPECT;
         }
         long settled = nowNanos - ZoneLosses.WINDOW_NANOS;
         if (!suspect.isConvicted()
-                && suspect.countEvents(EVENT_NANOS, settled) < CONVICTING_PART_LOSSES) {
+                && suspect.countEvents(EVENT_NANOS, settled) < mConvictingPartLosses) {
             return Verdict.PENDING;
         }
         if (!suspect.isConvicted()) {
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallSchedulerTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallSchedulerTest.java
@@ -22,7 +22,11 @@
     private final Upstream mFar = upstream("far", "c");
     private final CallScheduler mScheduler =
             new CallScheduler(
-                    Samples.LOCATIONS, Samples.retries(), Samples.limits(), Samples.random());
+                    "service",
+                    Samples.LOCATIONS,
+                    Samples.retries(),
+                    Samples.limits(),
+                    Samples.random());
 
     @BeforeEach
     void listUpstreams() {
@@ -66,6 +70,7 @@
                 List.of(AttemptEnd.REJECTED, AttemptEnd.UNREACHABLE, AttemptEnd.MISDIRECTED)) {
             CallScheduler scheduler =
                     new CallScheduler(
+                            "service",
                             Samples.LOCATIONS,
                             Samples.retries(),
                             Samples.limits(),
@@ -101,7 +106,11 @@
     void aCallThatMayHaveRunIsNotRefused() {
         CallScheduler scheduler =
                 new CallScheduler(
-                        Samples.LOCATIONS, Samples.retries(), Samples.limits(), Samples.random());
+                        "service",
+                        Samples.LOCATIONS,
+                        Samples.retries(),
+                        Samples.limits(),
+                        Samples.random());
         scheduler.replaceUpstreams(List.of(mNear), 0);
         scheduler.offer(Samples.call(1, RequestKind.IDEMPOTENT_CALL, 3, 0), 0);
         scheduler.advance(0);
--- /dev/null
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingCallTest.java
@@ -0,0 +1,299 @@
+package org.gentianwalk.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.gentianwalk.core.dispatch.Samples.MS;
+import static org.gentianwalk.core.dispatch.Samples.SECOND;
+import static org.gentianwalk.core.dispatch.Samples.upstream;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import org.gentianwalk.core.dispatch.Decision.Ending;
+import org.gentianwalk.core.model.Fingerprint;
+import org.gentianwalk.core.route.RequestKind;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Guards against a call that crashes each upstream that runs it and comes again at any instance,
+ * and against refusing sound calls because of it. Instances are schedulers in virtual time that
+ * exchange their reports; upstreams of one service crash, refuse connections and are listed again.
+ */
+class CrashingCallTest {
+    private static final Fingerprint CRASHING = new Fingerprint(0xbad, 1);
+    private static final Fingerprint SOUND = new Fingerprint(0x600d, 1);
+    private static final long STEP = 5 * MS;
+    private static final long DURATION = 21 * MS;
+    private static final long RESTART = 2 * SECOND;
+
+    /** Crashes after which a repeated call may reach upstreams at most three times. */
+    private static final int CRASHES_TO_DETECT = 3;
+
+    private static final long SETTLING_TIME = 4 * SECOND;
+    private static final int MAX_LATE_ATTEMPTS = 3;
+
+    private final List<CallScheduler> mInstances = new ArrayList<>();
+    private final Map<String, Upstream> mUpstreams = new TreeMap<>();
+    private final Map<String, Long> mRestarts = new TreeMap<>();
+    private final Map<Long, Attempt> mRunning = new TreeMap<>();
+    private final List<Long> mCrashes = new ArrayList<>();
+    private final List<Long> mCrashingStarts = new ArrayList<>();
+    private final Map<Long, Decision.Finish> mFinishes = new HashMap<>();
+    private long mNextId;
+
+    private record Attempt(int instance, Decision.Start start, long endsAt) {}
+
+    private void createFleet(int instances, int upstreams, long seed) {
+        for (int i = 0; i < upstreams; i++) {
+            Upstream upstream = upstream("desk-" + i, List.of("a", "b").get(i % 2));
+            mUpstreams.put(upstream.id(), upstream);
+        }
+        for (int i = 0; i < instances; i++) {
+            CallScheduler instance =
+                    new CallScheduler(
+                            "service",
+                            Samples.LOCATIONS,
+                            Samples.retries(),
+                            Samples.limits(),
+                            new Random(seed + i));
+            instance.replaceUpstreams(mUpstreams.values(), 0);
+            mInstances.add(instance);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void aCallThatComesAgainSoonReachesNoUpstream(long seed) {
+        createFleet(9, 3, seed);
+        Random random = new Random(seed);
+        for (long now = 0; now < 60 * SECOND; now += STEP) {
+            if (now % (5 * SECOND) == 2 * SECOND) {
+                offer(random, RequestKind.IDEMPOTENT_CALL, CRASHING, now);
+            }
+            if (random.nextInt(4) == 0) {
+                offer(random, RequestKind.SINGLE_CALL, SOUND, now);
+            }
+            advance(now);
+        }
+
+        assertThat(mCrashes).hasSizeGreaterThanOrEqualTo(CRASHES_TO_DETECT);
+        assertThat(lateStarts()).isLessThanOrEqualTo(MAX_LATE_ATTEMPTS);
+        assertThat(mFinishes.values())
+                .as("sound calls with the same content")
+                .filteredOn(finish -> SOUND.equals(finish.work().content()))
+                .noneMatch(finish -> finish.reason().contains("lost under calls"));
+    }
+
+    /** Repetitions by callers follow each other more closely than the evidence settles. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void aCallThatIsRetriedByItsCallersSoonReachesNoUpstream(long seed) {
+        createFleet(9, 6, seed);
+        Random random = new Random(seed);
+        for (long now = 0; now < 40 * SECOND; now += STEP) {
+            if (random.nextInt(100) == 0) {
+                offer(random, RequestKind.IDEMPOTENT_CALL, CRASHING, now);
+            }
+            advance(now);
+        }
+
+        assertThat(mCrashes).hasSizeGreaterThanOrEqualTo(CRASHES_TO_DETECT);
+        assertThat(lateStarts()).isLessThanOrEqualTo(MAX_LATE_ATTEMPTS);
+    }
+
+    /** A route may allow many attempts, and each one costs an upstream and the calls there. */
+    @Test
+    void oneCallCrashesAtMostTwoUpstreams() {
+        createFleet(1, 6, 1);
+        Random random = new Random(1);
+        offer(random, RequestKind.IDEMPOTENT_CALL, CRASHING, 0);
+        for (long now = 0; now < SECOND; now += STEP) {
+            advance(now);
+        }
+
+        assertThat(mCrashes).hasSize(2);
+        assertThat(mFinishes.get(1L).ending()).isEqualTo(Ending.UNKNOWN);
+    }
+
+    /** Waiting until the deadline would only delay the caller. */
+    @Test
+    void aConvictedCallIsRefusedAtOnceAsNotExecuted() {
+        createFleet(3, 6, 2);
+        Random random = new Random(2);
+        long now = 0;
+        for (; now < 30 * SECOND; now += STEP) {
+            if (now % SECOND == 0) {
+                offer(random, RequestKind.IDEMPOTENT_CALL, CRASHING, now);
+            }
+            advance(now);
+        }
+        for (int instance = 0; instance < mInstances.size(); instance++) {
+            long id = offer(instance, RequestKind.SINGLE_CALL, CRASHING, now);
+            List<Decision.Finish> finishes =
+                    Samples.finishes(mInstances.get(instance).advance(now));
+
+            assertThat(finishes).extracting(finish -> finish.work().id()).containsExactly(id);
+            assertThat(finishes.getLast().ending()).isEqualTo(Ending.REFUSED);
+            assertThat(finishes.getLast().retryAfter()).isPositive();
+        }
+    }
+
+    /** A planned restart closes connections, too; calls with such losses are sound. */
+    @Test
+    void aCallThatHasSucceededSinceIsNotRefused() {
+        createFleet(1, 3, 1);
+        CallScheduler instance = mInstances.getFirst();
+        for (int round = 1; round <= 6; round++) {
+            long now = round * 5 * SECOND;
+            long lost = offer(0, RequestKind.SINGLE_CALL, SOUND, now);
+            instance.advance(now);
+            instance.recordAttemptEnd(lost, 1, AttemptEnd.CRASHED, now + MS);
+            long answered = offer(0, RequestKind.SINGLE_CALL, SOUND, now + SECOND);
+            List<Decision> decisions = instance.advance(now + SECOND);
+            instance.recordAttemptEnd(answered, 1, AttemptEnd.SUCCEEDED, now + SECOND + DURATION);
+
+            assertThat(Samples.starts(decisions)).as("round " + round).hasSize(1);
+        }
+    }
+
+    private long lateStarts() {
+        long settled = mCrashes.get(CRASHES_TO_DETECT - 1) + SETTLING_TIME;
+        return mCrashingStarts.stream().filter(at -> at > settled).count();
+    }
+
+    private void offer(Random random, RequestKind kind, Fingerprint content, long now) {
+        offer(random.nextInt(mInstances.size()), kind, content, now);
+    }
+
+    private long offer(int instance, RequestKind kind, Fingerprint content, long now) {
+        long id = ++mNextId;
+        mInstances
+                .get(instance)
+                .offer(
+                        new Work(
+                                id,
+                                "request-" + id,
+                                "service",
+                                "team",
+                                kind,
+                                2,
+                                null,
+                                now,
+                                now + 150 * MS,
+                                now + 1200 * MS,
+                                0,
+                                5,
+                                0,
+                                content),
+                        now);
+        return id;
+    }
+
+    private void advance(long now) {
+        restartUpstreams(now);
+        for (Attempt attempt : List.copyOf(mRunning.values())) {
+            if (mRunning.containsValue(attempt) && now >= attempt.endsAt()) {
+                end(attempt, now);
+            }
+        }
+        for (int i = 0; i < mInstances.size(); i++) {
+            executeDecisions(i, now);
+        }
+        for (CallScheduler from : mInstances) {
+            if (from.hasLoad(now)) {
+                InstanceLoad load = from.load(now);
+                for (CallScheduler to : mInstances) {
+                    if (to != from) {
+                        to.recordPeerLoad("peer", load, now);
+                    }
+                }
+            }
+        }
+    }
+
+    private void end(Attempt attempt, long now) {
+        long id = attempt.start().work().id();
+        if (CRASHING.equals(attempt.start().work().content())) {
+            crash(attempt.start().upstream().id(), now);
+            return;
+        }
+        mRunning.remove(id);
+        mInstances
+                .get(attempt.instance())
+                .recordAttemptEnd(id, attempt.start().attempt(), AttemptEnd.SUCCEEDED, now);
+    }
+
+    private void crash(String upstream, long now) {
+        mCrashes.add(now);
+        mRestarts.put(upstream, now + RESTART);
+        for (Attempt attempt : List.copyOf(mRunning.values())) {
+            if (attempt.start().upstream().id().equals(upstream)) {
+                long id = attempt.start().work().id();
+                mRunning.remove(id);
+                mInstances
+                        .get(attempt.instance())
+                        .recordAttemptEnd(id, attempt.start().attempt(), AttemptEnd.RESET, now);
+            }
+        }
+    }
+
+    private void restartUpstreams(long now) {
+        boolean changed = false;
+        for (Map.Entry<String, Long> restart : Map.copyOf(mRestarts).entrySet()) {
+            if (now >= restart.getValue()) {
+                mRestarts.remove(restart.getKey());
+                Upstream old = mUpstreams.get(restart.getKey());
+                mUpstreams.put(
+                        old.id(),
+                        new Upstream(
+                                old.id(),
+                                now,
+                                old.service(),
+                                old.address(),
+                                old.zone(),
+                                old.slots(),
+                                false));
+                changed = true;
+            }
+        }
+        if (changed) {
+            mInstances.forEach(instance -> instance.replaceUpstreams(mUpstreams.values(), now));
+        }
+    }
+
+    private void executeDecisions(int index, long now) {
+        CallScheduler instance = mInstances.get(index);
+        boolean refused = true;
+        while (refused) {
+            refused = false;
+            for (Decision decision : instance.advance(now)) {
+                switch (decision) {
+                    case Decision.Start start -> refused |= start(index, start, now);
+                    case Decision.Finish finish -> mFinishes.put(finish.work().id(), finish);
+                }
+            }
+        }
+    }
+
+    /** Sends an attempt, and returns whether its upstream is down. */
+    private boolean start(int index, Decision.Start start, long now) {
+        if (mRestarts.containsKey(start.upstream().id())) {
+            mInstances
+                    .get(index)
+                    .recordAttemptEnd(
+                            start.work().id(), start.attempt(), AttemptEnd.NOT_LISTENING, now);
+            return true;
+        }
+        boolean crashes = CRASHING.equals(start.work().content());
+        if (crashes) {
+            mCrashingStarts.add(now);
+        }
+        long endsAt = now + (crashes ? STEP : DURATION);
+        mRunning.put(start.work().id(), new Attempt(index, start, endsAt));
+        return false;
+    }
+}
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingPartTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingPartTest.java
@@ -191,7 +191,8 @@
                 now + 25 * SECOND,
                 700 * MS,
                 5,
-                0);
+                0,
+                null);
     }
 
     private void advance(long now) {
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/Samples.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/Samples.java
@@ -66,7 +66,8 @@
                 now + 1200 * MS,
                 0,
                 maxAttempts,
-                0);
+                0,
+                null);
     }
 
     static Work stream(long id, int priority, int promptTokens, long now) {
@@ -92,7 +93,8 @@
                 now + 25 * SECOND,
                 700 * MS,
                 5,
-                0);
+                0,
+                null);
     }
 
     static List<Decision.Start> starts(List<Decision> decisions) {
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamSchedulerTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamSchedulerTest.java
@@ -406,7 +406,8 @@
                         25 * SECOND,
                         700 * MS,
                         5,
-                        0);
+                        0,
+                        null);
         Decision.Start start = offer(once, 0);
         mScheduler.recordAttemptEnd(1, 1, AttemptEnd.RESET, SECOND);
 
@@ -471,7 +472,8 @@
                         25 * SECOND,
                         700 * MS,
                         5,
-                        17);
+                        17,
+                        null);
 
         assertThat(offer(resumed, 0).upstream().id()).isEqualTo("c1");
     }
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamLimitsTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamLimitsTest.java
@@ -159,7 +159,8 @@
         UpstreamLimits limits = Samples.limits();
         Upstream other = upstream("other", "b");
         CallScheduler scheduler =
-                new CallScheduler(Samples.LOCATIONS, Samples.retries(), limits, Samples.random());
+                new CallScheduler(
+                        "service", Samples.LOCATIONS, Samples.retries(), limits, Samples.random());
         scheduler.replaceUpstreams(List.of(mUpstream, other), 0);
         limits.recordStatement(mUpstream, 0.25, 0);
         for (int id = 1; id <= 20; id++) {
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -381,7 +381,7 @@
     public List<InstanceLoad> loads() {
         List<InstanceLoad> loads = new ArrayList<>();
         for (WorkScheduler scheduler : mSchedulers.values()) {
-            if (scheduler instanceof PeerLoadAware aware) {
+            if (scheduler instanceof PeerLoadAware aware && aware.hasLoad(mTicker.nanos())) {
                 loads.add(aware.load(mTicker.nanos()));
             }
         }
@@ -523,7 +523,8 @@
         Random random = new Random();
         WorkScheduler scheduler =
                 service.engine() == null
-                        ? new CallScheduler(mSettings.locations(), retries, mLimits, random)
+                        ? new CallScheduler(
+                                service.name(), mSettings.locations(), retries, mLimits, random)
                         : new StreamScheduler(
                                 service.name(),
                                 service.engine(),
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/TrafficHandler.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/TrafficHandler.java
@@ -1,11 +1,13 @@
 package org.gentianwalk.gateway.traffic;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.gentianwalk.core.dispatch.Work;
 import org.gentianwalk.core.dispatch.WorkScheduler;
+import org.gentianwalk.core.model.Fingerprint;
 import org.gentianwalk.core.route.Route;
 import org.gentianwalk.core.route.RouteTable;
 import org.gentianwalk.core.route.Team;
@@ -101,7 +103,17 @@
                 deadline,
                 route.maxPause().toNanos(),
                 route.maxAttempts(),
-                head.lastEvent());
+                head.lastEvent(),
+                route.kind().isStream() ? null : content(request, team));
+    }
+
+    /** Returns the fingerprint that recognizes a call that is sent again. */
+    private static Fingerprint content(CallerRequest request, @Nullable Team team) {
+        return Fingerprint.of(
+                (team == null ? "" : team.name()).getBytes(StandardCharsets.UTF_8),
+                request.method().name().getBytes(StandardCharsets.UTF_8),
+                request.target().getBytes(StandardCharsets.UTF_8),
+                request.body());
     }
 
     private static final CallerListener NO_LISTENER =
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -278,7 +278,8 @@
                         Duration.ofSeconds(1).toNanos(),
                         0,
                         3,
-                        lastEvent);
+                        lastEvent,
+                        null);
         CallerRequest request =
                 new CallerRequest(
                         HttpMethod.POST,
