--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/AttemptEnd.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/AttemptEnd.java
@@ -40,4 +40,13 @@
     public boolean isNotSent() {
         return this == UNREACHABLE || this == NOT_LISTENING;
     }
+
+    /**
+     * Returns whether the request was received by a process that has probably ended since.
+     *
+     * @return true when the request may have caused that
+     */
+    public boolean isProcessLost() {
+        return this == RESET || this == CRASHED;
+    }
 }
--- /dev/null
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallEvidence.java
@@ -0,0 +1,55 @@
+package org.gentianwalk.core.dispatch;
+
+import java.time.Duration;
+import java.util.List;
+import org.gentianwalk.core.policy.PolicyOptions;
+import org.gentianwalk.core.policy.suspect.SuspectEntry;
+import org.gentianwalk.core.policy.suspect.SuspectTable;
+import org.gentianwalk.core.policy.suspect.SuspectTable.Verdict;
+
+/** Evidence of this and other instances on which calls crash the upstreams of a service. */
+final class CallEvidence {
+    /** Time for which evidence is reported; covers the repetition of lost reports. */
+    private static final long REPORT_NANOS = Duration.ofMillis(2_500).toNanos();
+
+    private static final int MAX_REPORTED = 16;
+
+    private final SuspectTable mSuspects =
+            new SuspectTable(
+                    PolicyOptions.defaults().retry(), SuspectTable.CONVICTING_CONTENT_LOSSES);
+    private final LossEvidence<CallTarget> mLosses = new LossEvidence<>(mSuspects);
+    private long mChanges;
+
+    /** Records what the end of an attempt shows. */
+    void recordEnd(SuspectSubject subject, CallTarget target, AttemptEnd end, long nowNanos) {
+        if (end.isProcessLost()) {
+            mLosses.recordLoss(target, subject, true, nowNanos);
+        } else if (end == AttemptEnd.SUCCEEDED || end == AttemptEnd.ANSWERED_ERROR) {
+            mChanges += mLosses.recordOutput(subject, nowNanos) ? 1 : 0;
+        }
+    }
+
+    void advance(long nowNanos) {
+        if (mLosses.advance(nowNanos)) {
+            mChanges++;
+        }
+    }
+
+    Verdict verdict(SuspectSubject subject, long nowNanos) {
+        return mLosses.verdict(subject, nowNanos);
+    }
+
+    /** Returns a counter that increases with each change that other instances should know. */
+    long changes() {
+        return mChanges;
+    }
+
+    /** Returns the evidence to report to other instances; usually none. */
+    List<SuspectEntry> report(long nowNanos) {
+        return mSuspects.entries(REPORT_NANOS, MAX_REPORTED, nowNanos);
+    }
+
+    void merge(List<SuspectEntry> entries, long nowNanos) {
+        mSuspects.merge(entries, nowNanos);
+    }
+}
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -13,9 +13,6 @@
 import java.util.random.RandomGenerator;
 import org.gentianwalk.core.dispatch.Decision.Ending;
 import org.gentianwalk.core.model.Location.Distance;
-import org.gentianwalk.core.policy.PolicyOptions;
-import org.gentianwalk.core.policy.suspect.SuspectEntry;
-import org.gentianwalk.core.policy.suspect.SuspectTable;
 import org.gentianwalk.core.policy.suspect.SuspectTable.Verdict;
 import org.jspecify.annotations.Nullable;
 
@@ -46,11 +43,6 @@
     /** Number of upstreams that may be lost under one call. */
     private static final int MAX_LOSSES = 2;
 
-    /** Time for which evidence is reported; covers the repetition of lost reports. */
-    private static final long SUSPECT_REPORT_NANOS = Duration.ofMillis(2_500).toNanos();
-
-    private static final int MAX_SUSPECTS_REPORTED = 16;
-
     private static final double TIE_MILLIS = 0.5;
 
     private final String mService;
@@ -58,16 +50,12 @@
     private final FleetRetryBudget mRetries;
     private final UpstreamLimits mLimits;
     private final RandomGenerator mRandom;
-    private final SuspectTable mSuspects =
-            new SuspectTable(
-                    PolicyOptions.defaults().retry(), SuspectTable.CONVICTING_CONTENT_LOSSES);
-    private final LossEvidence<CallTarget> mEvidence = new LossEvidence<>(mSuspects);
+    private final CallEvidence mEvidence = new CallEvidence();
     private final Map<String, CallTarget> mTargets = new LinkedHashMap<>();
     private final Map<Long, Call> mCalls = new HashMap<>();
     private List<Decision> mDecisions = new ArrayList<>();
     private final CallDuration mDuration = new CallDuration();
     private @Nullable Long mStopsAt;
-    private long mEvidenceChanges;
 
     /**
      * Creates a scheduler without upstreams.
@@ -140,7 +128,8 @@
         call.mTarget = null;
         target.release();
         target.recordEnd(end, nowNanos);
-        recordEvidence(call, target, end, nowNanos);
+        mEvidence.recordEnd(call.mSubject, target, end, nowNanos);
+        call.mLosses += end.isProcessLost() ? 1 : 0;
         if (end == AttemptEnd.SUCCEEDED) {
             mDuration.record(nowNanos - call.mStartedAt);
             mCalls.remove(work);
@@ -169,9 +158,7 @@
         if (mStopsAt != null && nowNanos - mStopsAt >= 0) {
             List.copyOf(mCalls.values()).forEach(call -> finishStopping(call, nowNanos));
         }
-        if (mEvidence.advance(nowNanos)) {
-            mEvidenceChanges++;
-        }
+        mEvidence.advance(nowNanos);
         List<Call> expired = new ArrayList<>();
         for (Call call : mCalls.values()) {
             if (nowNanos - call.mWork.deadlineNanos() >= 0) {
@@ -192,7 +179,7 @@
 
     @Override
     public boolean hasLoad(long nowNanos) {
-        return !suspectsToReport(nowNanos).isEmpty();
+        return !mEvidence.report(nowNanos).isEmpty();
     }
 
     @Override
@@ -200,26 +187,22 @@
         // The load itself is reported by the upstreams in their answers.
         return new InstanceLoad(
                 mService,
-                mEvidenceChanges,
+                loadChanges(),
                 List.of(),
                 0,
                 List.of(),
                 new FleetRetryBudget.Usage(0, 0),
-                suspectsToReport(nowNanos));
-    }
-
-    private List<SuspectEntry> suspectsToReport(long nowNanos) {
-        return mSuspects.entries(SUSPECT_REPORT_NANOS, MAX_SUSPECTS_REPORTED, nowNanos);
+                mEvidence.report(nowNanos));
     }
 
     @Override
     public long loadChanges() {
-        return mEvidenceChanges;
+        return mEvidence.changes();
     }
 
     @Override
     public void recordPeerLoad(String instance, InstanceLoad load, long nowNanos) {
-        mSuspects.merge(load.suspects(), nowNanos);
+        mEvidence.merge(load.suspects(), nowNanos);
     }
 
     @Override
@@ -227,16 +210,6 @@
         // Evidence remains valid when the instance that observed it has ended.
     }
 
-    /** Records what the end of an attempt shows about whether the call crashes upstreams. */
-    private void recordEvidence(Call call, CallTarget target, AttemptEnd end, long nowNanos) {
-        if (end == AttemptEnd.RESET || end == AttemptEnd.CRASHED) {
-            call.mLosses++;
-            mEvidence.recordLoss(target, call.mSubject, true, nowNanos);
-        } else if (end == AttemptEnd.SUCCEEDED || end == AttemptEnd.ANSWERED_ERROR) {
-            mEvidenceChanges += mEvidence.recordOutput(call.mSubject, nowNanos) ? 1 : 0;
-        }
-    }
-
     private void handleNotExecuted(Call call, AttemptEnd end, long nowNanos) {
         call.mUnexecutedAttempts++;
         boolean retry = call.mUnexecutedAttempts < MAX_UNEXECUTED_ATTEMPTS;
@@ -405,11 +378,11 @@
     /** State of a call. */
     private static final class Call {
         final Work mWork;
+        final SuspectSubject mSubject;
         final Set<String> mTried = new HashSet<>();
         int mAttempt;
         long mStartedAt;
         int mUnexecutedAttempts;
-        final SuspectSubject mSubject;
         int mExecutions;
         int mLosses;
         @Nullable CallTarget mTarget;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
@@ -96,7 +96,7 @@
                 mNotListening = true;
             }
             case UNREACHABLE, RESET, LOST, SILENT -> mReachability.recordFailure(nowNanos);
-            case MISDIRECTED -> mReplaced = true;
+            default -> mReplaced = true;
         }
     }
 
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -204,7 +204,7 @@
             }
             default -> mEngineView.recordFailure(engine, false, nowNanos);
         }
-        if (end == AttemptEnd.RESET || end == AttemptEnd.CRASHED) {
+        if (end.isProcessLost()) {
             recordLoss(run, engine, true, nowNanos);
         }
         endAttempt(run, end, end.name().toLowerCase(Locale.ROOT), nowNanos);
