Keep the answer of another upstream out of a stream that has begun

Cause: whether the head of the response had been sent was kept for the request, and the end of any later response that was not a stream was taken for the end of that response: its body was written and the response completed.

Change: each attempt records whether a part of its own response was forwarded. An error after the begin of a stream is an error answer of its attempt, after which the scheduler tries another engine or the stream is broken off; a success that is no stream counts as lost.

Evidence: three new tests of ExchangeTest fail without the change (anErrorOfTheNextUpstreamIsNotWrittenIntoAStream, aLongErrorOfTheNextUpstreamIsNotWrittenIntoAStream, aSuccessThatIsNoStreamDoesNotContinueOne).

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -215,6 +215,10 @@
         private @Nullable HttpHeaders mHeaders;
         private boolean mStreaming;
         private boolean mResent;
+
+        /** Whether a part of this attempt's response, other than a stream, was forwarded. */
+        private boolean mBegun;
+
         private long mLastOutputAt;
 
         Attempt(Decision.Start start) {
@@ -329,10 +333,12 @@
                 completeStream();
             } else if (head.isSuccess() && !head.signed()) {
                 endAttempt(this, AttemptEnd.LOST, "success without a signature");
-            } else if (mHeadSent) {
+            } else if (mBegun) {
                 mChannel.write(mBody.toByteArray());
                 mChannel.end();
                 completeDelivery(this);
+            } else if (head.isSuccess() && mHeadSent) {
+                endAttempt(this, AttemptEnd.LOST, "the response does not continue the stream");
             } else if (head.isSuccess()) {
                 new BufferedResponse(head, headers, mBody.toByteArray()).writeTo(mChannel);
                 completeDelivery(this);
@@ -370,7 +376,17 @@
             if (head == null || headers == null || head.isSuccess() && !head.signed()) {
                 return;
             }
-            if (!mHeadSent) {
+            if (mHeadSent && !mBegun) {
+                // The response of another attempt has begun; this one can't replace it.
+                cancelCall();
+                endAttempt(
+                        this,
+                        head.isSuccess() ? AttemptEnd.LOST : AttemptEnd.ANSWERED_ERROR,
+                        "the response does not continue the stream");
+                return;
+            }
+            if (!mBegun) {
+                mBegun = true;
                 mHeadSent = true;
                 mChannel.writeHead(head.status(), headers);
             }
@@ -386,10 +402,7 @@
                     return;
                 }
                 if (number > mLastEvent + 1) {
-                    UpstreamCall call = mCall;
-                    if (call != null) {
-                        call.cancel();
-                    }
+                    cancelCall();
                     endAttempt(
                             this,
                             AttemptEnd.LOST,
@@ -436,6 +449,13 @@
             completeDelivery(this);
         }
 
+        private void cancelCall() {
+            UpstreamCall call = mCall;
+            if (call != null) {
+                call.cancel();
+            }
+        }
+
         private void pauseIfUnwritable() {
             UpstreamCall call = mCall;
             if (call != null && !mChannel.isWritable()) {
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -161,6 +161,50 @@
         assertThat(mSent.get(1).headers().get("x-last")).isEqualTo("2");
     }
 
+    /** Callers would read the error as a part of their stream, and its end as the stream's. */
+    @Test
+    void anErrorOfTheNextUpstreamIsNotWrittenIntoAStream() {
+        Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 0);
+        start(exchange, 1, FIRST);
+        events(0, "id: 1\n\n");
+        mSent.get(0).listener().onFailure(Failure.BROKEN, "reset");
+        start(exchange, 2, SECOND);
+        answer(1, 500, true, false, "broken");
+        exchange.finish(finish(Ending.UPSTREAM_ERROR));
+
+        assertThat(mControl.mLog).containsExactly("ended 1 RESET", "ended 2 ANSWERED_ERROR");
+        assertThat(mCaller.mLog).containsExactly("begin 200", "part id: 1\n\n", "abort");
+    }
+
+    @Test
+    void aLongErrorOfTheNextUpstreamIsNotWrittenIntoAStream() {
+        Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 0);
+        start(exchange, 1, FIRST);
+        events(0, "id: 1\n\n");
+        mSent.get(0).listener().onFailure(Failure.BROKEN, "reset");
+        start(exchange, 2, SECOND);
+        UpstreamListener second = mSent.get(1).listener();
+        second.onHead(head(500, true, false, false), new DefaultHttpHeaders());
+        second.onBody(new byte[300 << 10]);
+
+        assertThat(mSent.get(1).cancelled()).isTrue();
+        assertThat(mControl.mLog).containsExactly("ended 1 RESET", "ended 2 ANSWERED_ERROR");
+        assertThat(mCaller.mLog).containsExactly("begin 200", "part id: 1\n\n");
+    }
+
+    @Test
+    void aSuccessThatIsNoStreamDoesNotContinueOne() {
+        Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 0);
+        start(exchange, 1, FIRST);
+        events(0, "id: 1\n\n");
+        mSent.get(0).listener().onFailure(Failure.BROKEN, "reset");
+        start(exchange, 2, SECOND);
+        answer(1, 200, true, false, "text");
+
+        assertThat(mControl.mLog).containsExactly("ended 1 RESET", "ended 2 LOST");
+        assertThat(mCaller.mLog).containsExactly("begin 200", "part id: 1\n\n");
+    }
+
     @Test
     void aGapInTheNumbersEndsTheAttempt() {
         Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 0);
