Break off a long response instead of continuing it with another attempt

Cause: parts of a long response are forwarded before its end is known, but the scheduler repeats the call after a failure as if nothing had been sent.

Change: once a part of a body that is not a stream has been forwarded, the end of its attempt breaks off the connection to the caller, and the request is withdrawn.

Evidence: aLongResponseThatBreaksOffIsNotContinuedByAnotherAttempt fails without the change.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -162,6 +162,12 @@
         mCollaborators
                 .control()
                 .attemptEnded(mWork.id(), attempt.mStart.attempt(), end, cause, attempt.load());
+        if (attempt.mBegun) {
+            // No other attempt can continue a body that is not a stream of events.
+            mDone = true;
+            mChannel.abort();
+            mCollaborators.control().requestWithdrawn(mWork.id());
+        }
     }
 
     private void completeDelivery(Attempt attempt) {
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -307,6 +307,22 @@
         assertThat(mCaller.mLog.getLast()).isEqualTo("abort");
     }
 
+    /** The first part and the body of another attempt would look like one complete response. */
+    @Test
+    void aLongResponseThatBreaksOffIsNotContinuedByAnotherAttempt() {
+        Exchange exchange = exchange(RequestKind.IDEMPOTENT_CALL, 0);
+        start(exchange, 1, FIRST);
+        Sent sent = mSent.getFirst();
+        sent.listener().onHead(head(200, true, false, false), new DefaultHttpHeaders());
+        sent.listener().onBody(new byte[300 << 10]);
+        sent.listener().onFailure(Failure.BROKEN, "reset");
+        start(exchange, 2, SECOND);
+
+        assertThat(mSent).as("attempts").hasSize(1);
+        assertThat(mCaller.mLog.getLast()).isEqualTo("abort");
+        assertThat(mControl.mLog).containsExactly("ended 1 RESET", "withdrawn");
+    }
+
     private Exchange exchange(RequestKind kind, long lastEvent) {
         Work work =
                 new Work(
