Send no second attempt of a request on a connection where it failed

Reported by operators of similar systems: a faulty engine wrote an earlier refusal once more on a kept connection, and clients were told "not run" for requests that had run, or the request ran a second time (REFUSED, TWICE).

Cause: all attempts of a request have the same identifier, and the connection of a rejected attempt was the first choice for the next one, so a late copy of the rejection was taken for its response.

Change: a connection keeps the identifiers of the requests that had a response other than a success on it, and is not used for them again; after 64 of them it is closed. Errors are included, since a late copy of one would end the next attempt of a stream in the same way. For other requests the identifier distinguishes late copies, so that the connection is kept: closing it after each rejection would cost new connections just while upstreams are full.

Evidence: aConnectionIsNotUsedAgainForARequestThatWasRejectedOnIt and aConnectionIsNotUsedAgainForARequestThatFailedOnIt fail without the record.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamClient.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamClient.java
@@ -63,7 +63,7 @@
 
     @Override
     public UpstreamCall send(String address, UpstreamRequest request, UpstreamListener listener) {
-        UpstreamConnection idle = takeIdle(address, request.nonRepeatable());
+        UpstreamConnection idle = takeIdle(address, request);
         if (idle != null) {
             idle.send(request, listener, true);
             return idle;
@@ -124,14 +124,14 @@
         }
     }
 
-    private @Nullable UpstreamConnection takeIdle(String address, boolean nonRepeatable) {
+    private @Nullable UpstreamConnection takeIdle(String address, UpstreamRequest request) {
         Deque<UpstreamConnection> idle = mIdle.get(address);
         if (idle == null) {
             return null;
         }
         long now = mTicker.nanos();
         for (UpstreamConnection connection : idle) {
-            if (connection.isUsable(now, nonRepeatable)) {
+            if (connection.isUsable(now, request)) {
                 idle.remove(connection);
                 return connection;
             }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
@@ -16,12 +16,17 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
 import org.gentianwalk.gateway.http.UpstreamListener.Failure;
 import org.gentianwalk.gateway.wire.ResponseHead;
 import org.jspecify.annotations.Nullable;
 
 /** One connection to an upstream, which carries one request at a time. */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter implements UpstreamCall {
+    /** Unsuccessful requests after which a connection is closed; bounds their record. */
+    private static final int MAX_UNSUCCESSFUL = 64;
+
     private final UpstreamClient mClient;
     private final String mAddress;
     private @Nullable ChannelHandlerContext mContext;
@@ -34,6 +39,13 @@
     private boolean mReusable;
     private boolean mFramed;
     private @Nullable Throwable mError;
+
+    /**
+     * Requests that had a response other than a success on this connection. A late copy of it could
+     * not be distinguished from the response to another attempt of the same request.
+     */
+    private final Set<String> mUnsuccessful = new HashSet<>();
+
     private long mIdleSince;
     private Duration mKeepAlive = UpstreamClient.DEFAULT_KEEP_ALIVE;
 
@@ -58,13 +70,16 @@
         return mAddress;
     }
 
-    boolean isUsable(long nowNanos, boolean nonRepeatable) {
+    boolean isUsable(long nowNanos, UpstreamRequest request) {
         ChannelHandlerContext context = mContext;
-        if (context == null || !context.channel().isActive() || mPhase != Phase.NONE) {
+        if (context == null
+                || !context.channel().isActive()
+                || mPhase != Phase.NONE
+                || mUnsuccessful.contains(request.requestId())) {
             return false;
         }
         long idle = nowNanos - mIdleSince;
-        Duration maxIdle = nonRepeatable ? mClient.maxSafeIdle(mKeepAlive) : mKeepAlive;
+        Duration maxIdle = request.nonRepeatable() ? mClient.maxSafeIdle(mKeepAlive) : mKeepAlive;
         return idle < maxIdle.toNanos();
     }
 
@@ -236,6 +251,7 @@
     private void complete() {
         UpstreamListener listener = mListener;
         ChannelFuture written = mWritten;
+        recordUnsuccessful();
         mListener = null;
         mRequest = null;
         mPhase = Phase.NONE;
@@ -253,6 +269,15 @@
         }
     }
 
+    private void recordUnsuccessful() {
+        ResponseHead head = mHead;
+        UpstreamRequest request = mRequest;
+        if (head != null && request != null && !head.isSuccess()) {
+            mUnsuccessful.add(request.requestId());
+            mReusable &= mUnsuccessful.size() < MAX_UNSUCCESSFUL;
+        }
+    }
+
     private void fail(Failure failure, String cause) {
         UpstreamListener listener = mListener;
         mListener = null;
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
@@ -42,7 +42,7 @@
 
         assertThat(mListener.mBody.toString()).isEqualTo("hello");
         assertThat(mListener.mComplete).isTrue();
-        assertThat(mConnection.isUsable(mTicker.nanos(), false)).isTrue();
+        assertThat(mConnection.isUsable(mTicker.nanos(), request("next", false))).isTrue();
     }
 
     @Test
@@ -68,6 +68,31 @@
         assertThat(mListener.mBody.toString()).isEqualTo("hello");
     }
 
+    /**
+     * A late second copy of a rejection carries the identifier that all attempts of the request
+     * have. Taken for the response to the next attempt, it reports a request as not executed that
+     * the upstream executes.
+     */
+    @Test
+    void aConnectionIsNotUsedAgainForARequestThatWasRejectedOnIt() {
+        send("one", false);
+        answer("HTTP/1.1 503 Full\r\nx-id: one\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n");
+        assertThat(mListener.mComplete).isTrue();
+
+        assertThat(mConnection.isUsable(mTicker.nanos(), request("one", false))).isFalse();
+        assertThat(mConnection.isUsable(mTicker.nanos(), request("two", false)))
+                .as("the late copy does not carry the identifier of another request")
+                .isTrue();
+    }
+
+    @Test
+    void aConnectionIsNotUsedAgainForARequestThatFailedOnIt() {
+        send("one", false);
+        answer("HTTP/1.1 500 Failed\r\nx-id: one\r\nx-signed: 1\r\nContent-Length: 0\r\n\r\n");
+
+        assertThat(mConnection.isUsable(mTicker.nanos(), request("one", false))).isFalse();
+    }
+
     @Test
     void bytesThatAreNotHttpFailTheRequest() {
         send("one", false);
@@ -137,14 +162,14 @@
         answer(OK.replace("x-signed: 1", "x-signed: 1\r\nx-keep: 3"));
 
         mTicker.advance(Duration.ofMillis(1_000));
-        assertThat(mConnection.isUsable(mTicker.nanos(), true)).isTrue();
+        assertThat(mConnection.isUsable(mTicker.nanos(), request("next", true))).isTrue();
         mTicker.advance(Duration.ofMillis(500));
-        assertThat(mConnection.isUsable(mTicker.nanos(), true))
+        assertThat(mConnection.isUsable(mTicker.nanos(), request("next", true)))
                 .as("a non-repeatable request needs a recently used connection")
                 .isFalse();
-        assertThat(mConnection.isUsable(mTicker.nanos(), false)).isTrue();
+        assertThat(mConnection.isUsable(mTicker.nanos(), request("next", false))).isTrue();
         mTicker.advance(Duration.ofMillis(1_000));
-        assertThat(mConnection.isUsable(mTicker.nanos(), false)).isFalse();
+        assertThat(mConnection.isUsable(mTicker.nanos(), request("next", false))).isFalse();
     }
 
     @Test
@@ -174,16 +199,18 @@
     }
 
     private void send(String id, boolean reused) {
-        HttpHeaders headers = new DefaultHttpHeaders().set("x-id", id);
-        mConnection.send(
-                new UpstreamRequest(HttpMethod.GET, "/a", () -> headers, new byte[0], id, false),
-                mListener,
-                reused);
+        mConnection.send(request(id, false), mListener, reused);
         for (ByteBuf part = mChannel.readOutbound(); part != null; part = mChannel.readOutbound()) {
             part.release();
         }
     }
 
+    private static UpstreamRequest request(String id, boolean nonRepeatable) {
+        HttpHeaders headers = new DefaultHttpHeaders().set("x-id", id);
+        return new UpstreamRequest(
+                HttpMethod.GET, "/a", () -> headers, new byte[0], id, nonRepeatable);
+    }
+
     private void answer(String text) {
         mChannel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
     }
