End an attempt whose address can't be used

Reported by operators of similar systems: an odd entry among those of the engines, such as one with a port out of range, after which machines failed.

Cause: the client of upstreams converts the address when it connects. Its exception ended the task of the traffic loop between the start of the attempt and its end, so the scheduler kept waiting for the attempt.

Change: an address that is not an IP address and a port fails the request as not sent, so that another upstream is tried, and names are not looked up. Any other exception while an attempt is sent ends the attempt as lost: the request may have been executed.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamClient.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamClient.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.net.ConnectException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -143,11 +144,13 @@
             String address, UpstreamRequest request, UpstreamListener listener) {
         UpstreamConnection connection = new UpstreamConnection(this, address);
         ConnectingCall connecting = new ConnectingCall(connection, request, listener);
-        int colon = address.lastIndexOf(':');
-        InetSocketAddress target =
-                new InetSocketAddress(
-                        address.substring(0, colon),
-                        Integer.parseInt(address.substring(colon + 1)));
+        InetSocketAddress target;
+        try {
+            target = parseAddress(address);
+        } catch (IllegalArgumentException e) {
+            listener.onFailure(Failure.NOT_SENT, String.valueOf(e.getMessage()));
+            return connecting;
+        }
         mOpened++;
         new Bootstrap()
                 .group(mGroup)
@@ -166,6 +169,22 @@
         return connecting;
     }
 
+    /**
+     * Parses an address. Host names are not accepted, since their lookup would block the traffic
+     * loop.
+     *
+     * @throws IllegalArgumentException if it is not an IP address and a port
+     */
+    private static InetSocketAddress parseAddress(String address) {
+        int colon = address.lastIndexOf(':');
+        if (colon < 1) {
+            throw new IllegalArgumentException("address without a port: " + address);
+        }
+        return new InetSocketAddress(
+                InetAddress.ofLiteral(address.substring(0, colon)),
+                Integer.parseInt(address.substring(colon + 1)));
+    }
+
     static void initPipeline(Channel channel, UpstreamConnection connection) {
         HttpDecoderConfig decoder =
                 new HttpDecoderConfig()
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -20,6 +20,7 @@
 import org.gentianwalk.gateway.wire.ResponseHead;
 import org.gentianwalk.gateway.wire.UpstreamHead;
 import org.gentianwalk.gateway.wire.WireDialect;
+import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -30,6 +31,8 @@
  * attempt continues after the last forwarded event.
  */
 public final class Exchange implements RequestHandler.CallerListener {
+    private static final Logger LOG = Logger.getLogger(Exchange.class);
+
     /** Size up to which a response is buffered, bytes; a longer one is forwarded as it arrives. */
     private static final int MAX_BUFFERED_BYTES = 256 << 10;
 
@@ -94,7 +97,13 @@
         mErrorResponse = null;
         Attempt attempt = new Attempt(start);
         mAttempt = attempt;
-        attempt.send();
+        try {
+            attempt.send();
+        } catch (RuntimeException e) {
+            // Without an end the attempt would keep its slot, and the caller would get no answer.
+            LOG.errorf(e, "an attempt of request %s failed", mWork.requestId());
+            endAttempt(attempt, AttemptEnd.LOST, String.valueOf(e));
+        }
     }
 
     /**
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -40,6 +40,7 @@
     private final RecordedControl mControl = new RecordedControl();
     private final RecordedChannel mCaller = new RecordedChannel();
     private final List<Sent> mSent = new ArrayList<>();
+    private RuntimeException mSendFailure;
 
     @Test
     void aCompleteResponseIsForwardedOnce() {
@@ -323,6 +324,16 @@
         assertThat(mControl.mLog).containsExactly("ended 1 RESET", "withdrawn");
     }
 
+    /** An attempt without an end keeps its slot, and its caller gets no answer. */
+    @Test
+    void anAttemptThatFailsWithAnExceptionEnds() {
+        mSendFailure = new IllegalArgumentException("port out of range");
+        Exchange exchange = exchange(RequestKind.SINGLE_CALL, 0);
+        start(exchange, 1, FIRST);
+
+        assertThat(mControl.mLog).as("it may have been sent").containsExactly("ended 1 LOST");
+    }
+
     private Exchange exchange(RequestKind kind, long lastEvent) {
         Work work =
                 new Work(
@@ -355,6 +366,9 @@
                 mCaller,
                 new Exchange.Collaborators(
                         (address, sent, listener) -> {
+                            if (mSendFailure != null) {
+                                throw mSendFailure;
+                            }
                             Sent each = new Sent(sent, listener);
                             mSent.add(each);
                             return each;
