Keep following a table after a row that can't be applied

An odd entry in a table must not end the watch (reports of other operators: machines that read the list stopped following it). It could happen here: an exception of a listener ended the chain of polls for good, so that the instance kept old upstreams and keys until its end.

Change: the watcher logs the failure of its listener and polls on, and a row whose parsing fails in any way is ignored like an unreadable one.

Evidence: aRowThatTheListenerFailsOnDoesNotEndTheWatch fails without the change.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -566,7 +566,7 @@
                 }
                 try {
                     applyConfiguration(mRowFormat.parseConfiguration(row.value()));
-                } catch (UnreadableRowException e) {
+                } catch (UnreadableRowException | RuntimeException e) {
                     mLog.rowIgnored(row.key(), String.valueOf(e.getMessage()));
                 }
             }
@@ -618,7 +618,8 @@
         private @Nullable Upstream parse(Row row) {
             try {
                 return mRowFormat.parseUpstream(row.key(), row.value());
-            } catch (UnreadableRowException e) {
+            } catch (UnreadableRowException | RuntimeException e) {
+                // One row, which another writer may have left, must not keep the others out.
                 mLog.rowIgnored(row.key(), String.valueOf(e.getMessage()));
                 return null;
             }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
@@ -9,6 +9,7 @@
 import org.gentianwalk.core.time.Ticker;
 import org.gentianwalk.gateway.store.RowStore.Result;
 import org.gentianwalk.gateway.store.RowStore.Row;
+import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -20,6 +21,8 @@
  * from another instance.
  */
 public final class TableWatcher {
+    private static final Logger LOG = Logger.getLogger(TableWatcher.class);
+
     private static final Duration INITIAL_BACKOFF = Duration.ofMillis(150);
     private static final Duration MAX_BACKOFF = Duration.ofMillis(600);
 
@@ -135,7 +138,7 @@
         List<Row> changed = mMirror.applyChanges(changes.rows(), changes.to());
         if (mUnreachable || !changed.isEmpty()) {
             markReachable();
-            mListener.changed(changed);
+            pass(() -> mListener.changed(changed));
         }
     }
 
@@ -176,7 +179,7 @@
                 List<Row> changed = mMirror.applySnapshot(mReadRows, mReadVersion);
                 mReadRows.clear();
                 markReachable();
-                mListener.replaced(mMirror.rows());
+                pass(() -> mListener.replaced(mMirror.rows()));
                 mFeed.reportRead(mTable, from, mReadVersion, changed);
                 poll();
             }
@@ -209,7 +212,7 @@
             case Result.Rows rows -> {
                 List<Row> changed = mMirror.applyChanges(rows.rows(), rows.version());
                 markReachable();
-                mListener.changed(changed);
+                pass(() -> mListener.changed(changed));
                 mFeed.reportRead(mTable, since, rows.version(), rows.rows());
                 Duration pause = rows.rows().isEmpty() ? Duration.ZERO : mTimes.pause();
                 mControl.schedule(this::poll, pause.toMillis(), TimeUnit.MILLISECONDS);
@@ -219,6 +222,15 @@
         }
     }
 
+    /** Passes rows to the listener, whose failure must not end the watch. */
+    private void pass(Runnable call) {
+        try {
+            call.run();
+        } catch (RuntimeException e) {
+            LOG.errorf(e, "rows of table %s were not applied", mTable);
+        }
+    }
+
     private void markReachable() {
         mUnreachable = false;
         mBackoff = INITIAL_BACKOFF;
@@ -250,7 +262,7 @@
                 && result instanceof Result.Rows rows
                 && rows.version() > mMirror.version()) {
             mMirror.applySnapshot(rows.rows(), rows.version());
-            mListener.replaced(mMirror.rows());
+            pass(() -> mListener.replaced(mMirror.rows()));
             mListener.unavailable("the table was fetched from another instance");
         }
     }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherTest.java
@@ -37,6 +37,9 @@
                     @Override
                     public void changed(List<Row> rows) {
                         mEvents.add("changed " + keys(rows));
+                        if (keys(rows).contains("odd")) {
+                            throw new IllegalArgumentException("an odd row");
+                        }
                     }
 
                     @Override
@@ -262,6 +265,17 @@
         assertThat(heartbeat.to()).isEqualTo(9);
     }
 
+    /** An instance that stops following the table keeps old upstreams and keys for ever. */
+    @Test
+    void aRowThatTheListenerFailsOnDoesNotEndTheWatch() {
+        answer(new Result.Rows(List.of(row("a")), false, 5));
+        answer(new Result.Rows(List.of(row("odd")), false, 6));
+        mControl.advance(Duration.ofMillis(100));
+        answer(new Result.Rows(List.of(row("b")), false, 7));
+
+        assertThat(mEvents).containsExactly("all [a]", "changed [odd]", "changed [b]");
+    }
+
     private void answer(Result result) {
         mStore.mOpen.remove().complete(result);
         mControl.runAll();
