End an attempt by its head when its body is too long

A success without a signature was buffered until its end, however long that took, and a rejection of more than 256 KiB was forwarded in parts as if it were the answer, after which no other upstream could be tried.

Change: where the head shows that the request was not answered, the attempt ends when its body exceeds the buffer.

Evidence: aBodyWithoutEndAfterASuccessWithoutASignatureEndsTheAttempt and aLongRejectionIsNotForwarded fail without the change.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -334,20 +334,11 @@
             if (mAttempt != this || head == null || headers == null) {
                 return;
             }
-            if (head.misdirected()) {
-                endAttempt(
-                        this,
-                        mResent ? AttemptEnd.CRASHED : AttemptEnd.MISDIRECTED,
-                        "another upstream process has the address");
-            } else if (head.notRun()) {
-                endAttempt(
-                        this,
-                        mResent ? AttemptEnd.LOST : AttemptEnd.REJECTED,
-                        "status " + head.status() + ", not run");
-            } else if (mStreaming) {
+            if (endUnanswered(head)) {
+                return;
+            }
+            if (mStreaming) {
                 completeStream();
-            } else if (head.isSuccess() && !head.signed()) {
-                endAttempt(this, AttemptEnd.LOST, "success without a signature");
             } else if (mBegun) {
                 mChannel.write(mBody.toByteArray());
                 mChannel.end();
@@ -384,11 +375,39 @@
             endAttempt(this, end, failure + ": " + cause);
         }
 
+        /**
+         * Ends the attempt if its head shows that it did not answer the request, whatever follows.
+         *
+         * @return whether it has ended
+         */
+        private boolean endUnanswered(ResponseHead head) {
+            if (head.misdirected()) {
+                endAttempt(
+                        this,
+                        mResent ? AttemptEnd.CRASHED : AttemptEnd.MISDIRECTED,
+                        "another upstream process has the address");
+            } else if (head.notRun()) {
+                endAttempt(
+                        this,
+                        mResent ? AttemptEnd.LOST : AttemptEnd.REJECTED,
+                        "status " + head.status() + ", not run");
+            } else if (head.isSuccess() && !head.signed()) {
+                endAttempt(this, AttemptEnd.LOST, "success without a signature");
+            } else {
+                return false;
+            }
+            return true;
+        }
+
         /** Forwards the buffered part of a response that is too long to be buffered as a whole. */
         private void forwardBuffered() {
             ResponseHead head = mHead;
             HttpHeaders headers = mHeaders;
-            if (head == null || headers == null || head.isSuccess() && !head.signed()) {
+            if (head == null || headers == null) {
+                return;
+            }
+            if (endUnanswered(head)) {
+                cancelCall();
                 return;
             }
             if (mHeadSent && !mBegun) {
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -324,6 +324,32 @@
         assertThat(mControl.mLog).containsExactly("ended 1 RESET", "withdrawn");
     }
 
+    /** Bytes that are no answer may come without end, until memory is exhausted. */
+    @Test
+    void aBodyWithoutEndAfterASuccessWithoutASignatureEndsTheAttempt() {
+        Exchange exchange = exchange(RequestKind.IDEMPOTENT_CALL, 0);
+        start(exchange, 1, FIRST);
+        UpstreamListener listener = mSent.getFirst().listener();
+        listener.onHead(head(200, false, false, false), new DefaultHttpHeaders());
+        listener.onBody(new byte[300 << 10]);
+
+        assertThat(mControl.mLog).containsExactly("ended 1 LOST");
+        assertThat(mSent.getFirst().cancelled()).isTrue();
+    }
+
+    /** Forwarded in parts, it would commit the caller to a request that was not executed. */
+    @Test
+    void aLongRejectionIsNotForwarded() {
+        Exchange exchange = exchange(RequestKind.IDEMPOTENT_CALL, 0);
+        start(exchange, 1, FIRST);
+        UpstreamListener listener = mSent.getFirst().listener();
+        listener.onHead(head(503, false, false, true), new DefaultHttpHeaders());
+        listener.onBody(new byte[300 << 10]);
+
+        assertThat(mControl.mLog).containsExactly("ended 1 REJECTED");
+        assertThat(mCaller.mLog).isEmpty();
+    }
+
     /** An attempt without an end keeps its slot, and its caller gets no answer. */
     @Test
     void anAttemptThatFailsWithAnExceptionEnds() {
