Obey upstreams that are about to end or want a pause

A leaving process gets no request, no copy of a KV cache and no cache query, whatever the list says, until a later process is listed, at most for 10 minutes. It is learned from answers of calls, errors, heads of streams, liveness checks and cache queries, but not from another process at the address (421). A pause holds for its time, at most 10 minutes; zero, negative and unreadable values and dates count as none. After it, requests start one by one for two seconds, 20 a second of all instances together. When all upstreams pause, calls are refused with the shortest pause as Retry-After, and generations when their deadline comes before its end.

Weighed: telling the other instances. A pause concerns one instance. A leaving engine is announced by the list in most cases, and each instance learns it with its next answer; left out for now. Liveness checks still go to an engine that pauses while generations run there.

With the record ignored, requestsStartOneByOneAfterAPauseThatEndsAtAllInstancesTogether (1, 9 and 95 instances), callsAreRefusedUntilTheShortestPauseEndsWhenAllUpstreamsPause and aGenerationIsRefusedAtOnceWhenAllEnginesPauseBeyondItsDeadline fail, among others.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -277,7 +277,7 @@
             if (limitWait == null) {
                 finish(call, ending, NO_UPSTREAM_RETRY, "no usable upstream", nowNanos);
             } else {
-                finish(call, ending, limitWait, "all upstreams are at their limits", nowNanos);
+                finish(call, ending, limitWait, "all upstreams want fewer requests", nowNanos);
             }
             return false;
         }
@@ -346,7 +346,7 @@
     private @Nullable Duration shortestLimitWait(long nowNanos) {
         Duration shortest = null;
         for (CallTarget target : mTargets.values()) {
-            if (!target.isUsable()) {
+            if (!target.isUsable() || mLimits.isLeaving(target.upstream())) {
                 continue;
             }
             OptionalLong wait = mLimits.waitNanos(target.upstream(), nowNanos);
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 import org.gentianwalk.core.model.Location.Distance;
 import org.gentianwalk.core.route.EngineSpec;
@@ -147,6 +148,19 @@
         return best;
     }
 
+    /**
+     * Returns the shortest time until an engine accepts a request, nanoseconds; 0 when that is
+     * unknown.
+     */
+    long shortestWaitNanos(long nowNanos) {
+        long shortest = Long.MAX_VALUE;
+        for (EngineState engine : usableEngines(nowNanos)) {
+            OptionalLong wait = mLimits.waitNanos(engine.upstream(), nowNanos);
+            shortest = Math.min(shortest, wait.orElse(Long.MAX_VALUE));
+        }
+        return shortest == Long.MAX_VALUE ? 0 : shortest;
+    }
+
     /** Returns the engine in another zone that is to keep a copy and can take over, or null. */
     @Nullable EngineState selectCopyHolder(EngineState engine, StreamRun run, long nowNanos) {
         EngineState best = null;
@@ -207,6 +221,7 @@
         double fill = (double) (engine.memory() + run.memory()) / mSpec.memoryTokens();
         return fill <= MEMORY_FRACTION
                 && engine.running() < mSpec.slots()
+                && !mLimits.isLeaving(engine.upstream())
                 && mEngineView.isUsable(engine, nowNanos);
     }
 
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -150,7 +150,8 @@
             mHasQueriedCaches = true;
             mQueriedCachesAt = nowNanos;
             for (EngineState engine : mEngineView.engines()) {
-                if (mEngineView.isUsable(engine, nowNanos)) {
+                if (mEngineView.isUsable(engine, nowNanos)
+                        && mLimits.isPermitted(engine.upstream(), nowNanos)) {
                     mCacheQueries.add(engine.upstream());
                     mOpenCacheQueries++;
                 }
@@ -430,10 +431,21 @@
             } else if (mEngineView.engines().isEmpty()) {
                 Ending ending = run.executions() == 0 ? Ending.REFUSED : Ending.UNKNOWN;
                 finish(run, ending, NO_ENGINE_RETRY, "no engine is listed");
+            } else {
+                refuseIfPausedTooLong(run, nowNanos);
             }
         }
     }
 
+    /** Ends a request that no engine accepts before its deadline. */
+    private void refuseIfPausedTooLong(StreamRun run, long nowNanos) {
+        long wait = mSelector.shortestWaitNanos(nowNanos);
+        if (wait > 0 && nowNanos + wait - run.work().deadlineNanos() >= 0) {
+            Ending ending = run.executions() == 0 ? Ending.REFUSED : Ending.UNKNOWN;
+            finish(run, ending, Duration.ofNanos(wait), "all engines want no requests for a time");
+        }
+    }
+
     private Verdict verdict(StreamRun run, long nowNanos) {
         return mEvidence.verdict(run.subject(), nowNanos);
     }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamLimits.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamLimits.java
@@ -14,10 +14,13 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Keeps the requests of all instances to an upstream within the limit that it states. The limit is
- * divided evenly between instances, without messages for single requests. When it is smaller than
- * the number of instances, only some of them use the upstream, evenly spread over zones and a
- * different selection for each upstream, since each one may send a request at the same moment.
+ * Keeps the requests to upstreams within what they ask for: a limit for all instances together, a
+ * pause for this instance, or no requests any more since the process is about to end.
+ *
+ * <p>A limit is divided evenly between instances, without messages for single requests. When it is
+ * smaller than the number of instances, only some of them use the upstream, evenly spread over
+ * zones and a different selection for each upstream, since each one may send a request at the same
+ * moment.
  *
  * <p>The last statement holds, whichever instance received it. A limit that is not stated again,
  * because nobody sends requests, is relaxed step by step, so that its end does not release the
@@ -49,6 +52,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final RandomGenerator mRandom;
+    private final UpstreamPauses mPauses;
     private final Map<String, Limit> mLimits = new LinkedHashMap<>();
     private PeerView mPeers = PeerView.ALONE;
     private long mChanges;
@@ -60,6 +64,7 @@
      */
     public UpstreamLimits(RandomGenerator random) {
         mRandom = random;
+        mPauses = new UpstreamPauses(random);
     }
 
     /** Limit of one upstream process, and this instance's requests to it. */
@@ -102,6 +107,41 @@
         limit.mObservedAt = nowNanos;
     }
 
+    /**
+     * Records that an upstream wants no requests from this instance for a time.
+     *
+     * @param upstream the upstream
+     * @param pause the time; not positive for none
+     * @param nowNanos time of receipt
+     */
+    public void recordPause(Upstream upstream, Duration pause, long nowNanos) {
+        if (pause.isPositive()) {
+            mPauses.recordPause(upstream.process(), pause, mPeers.instances(), nowNanos);
+        }
+    }
+
+    /**
+     * Records that the process of an upstream is about to end. It gets no requests any more,
+     * whatever the list of upstreams states; a process with a later start time does.
+     *
+     * @param upstream the upstream
+     * @param nowNanos time of receipt
+     * @return whether that was not known
+     */
+    public boolean recordLeaving(Upstream upstream, long nowNanos) {
+        return mPauses.recordLeaving(upstream.process(), nowNanos);
+    }
+
+    /**
+     * Returns whether the process of an upstream has announced its end.
+     *
+     * @param upstream the upstream
+     * @return true when it gets no requests any more
+     */
+    public boolean isLeaving(Upstream upstream) {
+        return mPauses.isLeaving(upstream);
+    }
+
     /**
      * Records the limits that another instance reports.
      *
@@ -181,11 +221,12 @@
     }
 
     /**
-     * Removes limits that have not been stated for a long time.
+     * Removes pauses that are over, and limits that have not been stated for a long time.
      *
      * @param nowNanos current time
      */
     public void expire(long nowNanos) {
+        mPauses.expire(nowNanos);
         Iterator<Limit> limits = mLimits.values().iterator();
         while (limits.hasNext()) {
             if (nowNanos - limits.next().mStatedAt > LIFETIME_NANOS) {
@@ -226,7 +267,8 @@
      *
      * @param upstream the upstream
      * @param nowNanos current time
-     * @return false when the request would exceed this instance's part of the limit
+     * @return false when the request would exceed this instance's part of the limit, or the
+     *     upstream wants no requests
      */
     public boolean isPermitted(Upstream upstream, long nowNanos) {
         OptionalLong wait = waitNanos(upstream, nowNanos);
@@ -238,9 +280,18 @@
      *
      * @param upstream the upstream
      * @param nowNanos current time
-     * @return nanoseconds, 0 for now; empty when other instances use the upstream
+     * @return nanoseconds, 0 for now; empty when other instances use the upstream, or when it is
+     *     about to end
      */
     public OptionalLong waitNanos(Upstream upstream, long nowNanos) {
+        OptionalLong pause = mPauses.waitNanos(upstream, nowNanos);
+        OptionalLong limit = limitWaitNanos(upstream, nowNanos);
+        return pause.isEmpty() || limit.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(Math.max(pause.getAsLong(), limit.getAsLong()));
+    }
+
+    private OptionalLong limitWaitNanos(Upstream upstream, long nowNanos) {
         Limit limit = mLimits.get(upstream.process());
         if (limit == null || limit.isNone()) {
             return OptionalLong.of(0);
@@ -263,6 +314,7 @@
      * @param nowNanos current time
      */
     public void recordSent(Upstream upstream, long nowNanos) {
+        mPauses.recordSent(upstream, mPeers.instances(), nowNanos);
         Limit limit = mLimits.get(upstream.process());
         if (limit != null && !limit.isNone()) {
             double rate = limit.currentRate(nowNanos);
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamSchedulerTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamSchedulerTest.java
@@ -8,6 +8,7 @@
 import static org.gentianwalk.core.dispatch.Samples.stream;
 import static org.gentianwalk.core.dispatch.Samples.upstream;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -605,6 +606,69 @@
         assertThat(endings).containsEntry(6L, Ending.REFUSED);
     }
 
+    /** Waiting until the deadline would only delay the caller. */
+    @Test
+    void aGenerationIsRefusedAtOnceWhenAllEnginesPauseBeyondItsDeadline() {
+        UpstreamLimits limits = Samples.limits();
+        StreamScheduler scheduler =
+                new StreamScheduler(
+                        "service",
+                        Samples.SPEC,
+                        Samples.LOCATIONS,
+                        Samples.retries(),
+                        limits,
+                        Samples.random());
+        scheduler.replaceUpstreams(mEngines, 0);
+        mEngines.forEach(engine -> limits.recordPause(engine, Duration.ofSeconds(300), 0));
+        scheduler.offer(stream(1, 2, 8_000, 0), 0);
+        Decision.Finish finish = finishes(scheduler.advance(0)).getFirst();
+
+        assertThat(finish.ending()).isEqualTo(Ending.REFUSED);
+        assertThat(finish.retryAfter()).isGreaterThanOrEqualTo(Duration.ofSeconds(300));
+    }
+
+    @Test
+    void aGenerationWaitsForAShortPauseOfAllEngines() {
+        UpstreamLimits limits = Samples.limits();
+        StreamScheduler scheduler =
+                new StreamScheduler(
+                        "service",
+                        Samples.SPEC,
+                        Samples.LOCATIONS,
+                        Samples.retries(),
+                        limits,
+                        Samples.random());
+        scheduler.replaceUpstreams(mEngines, 0);
+        mEngines.forEach(engine -> limits.recordPause(engine, Duration.ofSeconds(1), 0));
+        scheduler.offer(stream(1, 2, 8_000, 0), 0);
+        assertThat(scheduler.advance(0)).isEmpty();
+
+        assertThat(starts(scheduler.advance(1_100 * MS))).hasSize(1);
+    }
+
+    /** The copy would be lost with the engine, just when another engine has to take over. */
+    @Test
+    void aLeavingEngineKeepsNoCopies() {
+        UpstreamLimits limits = Samples.limits();
+        StreamScheduler scheduler =
+                new StreamScheduler(
+                        "service",
+                        Samples.SPEC,
+                        Samples.LOCATIONS,
+                        Samples.retries(),
+                        limits,
+                        Samples.random());
+        scheduler.replaceUpstreams(mEngines, 0);
+        mEngines.stream()
+                .filter(engine -> !engine.id().equals("a1"))
+                .forEach(engine -> limits.recordLeaving(engine, 0));
+        scheduler.offer(stream(1, 2, 8_000, 0), 0);
+
+        Decision.Start start = starts(scheduler.advance(0)).getFirst();
+        assertThat(start.upstream().id()).isEqualTo("a1");
+        assertThat(start.copyHolder()).isNull();
+    }
+
     private Decision.Start offer(Work work, long now) {
         mScheduler.offer(work, now);
         return starts(mScheduler.advance(now)).getLast();
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamLimitsTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamLimitsTest.java
@@ -7,6 +7,7 @@
 import static org.gentianwalk.core.dispatch.Samples.starts;
 import static org.gentianwalk.core.dispatch.Samples.upstream;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -17,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against an upstream that gets more requests than the limit that it states. */
 class UpstreamLimitsTest {
@@ -202,4 +204,117 @@
                 .isNotEmpty()
                 .allSatisfy(start -> assertThat(start.upstream()).isEqualTo(other));
     }
+
+    /** The list of upstreams may be outdated, or may never show that a process leaves. */
+    @Test
+    void aLeavingProcessGetsNoRequestsUntilALaterOneIsListed() {
+        createInstances(1);
+        UpstreamLimits limits = mInstances.getFirst();
+        assertThat(limits.recordLeaving(mUpstream, 0)).isTrue();
+        assertThat(limits.recordLeaving(mUpstream, SECOND)).as("already known").isFalse();
+        limits.expire(60 * SECOND);
+
+        assertThat(limits.isPermitted(mUpstream, 60 * SECOND)).isFalse();
+        assertThat(limits.waitNanos(mUpstream, 60 * SECOND)).isEmpty();
+        Upstream restarted =
+                new Upstream(
+                        mUpstream.id(),
+                        2,
+                        mUpstream.service(),
+                        mUpstream.address(),
+                        mUpstream.zone(),
+                        mUpstream.slots(),
+                        false);
+        assertThat(limits.isPermitted(restarted, 60 * SECOND)).isTrue();
+    }
+
+    /** An upstream that leaves while many requests arrive gets none of them. */
+    @ParameterizedTest
+    @ValueSource(ints = {10, 100, 1_000})
+    void callsGoToOtherUpstreamsWhenOneLeaves(int calls) {
+        createInstances(1);
+        UpstreamLimits limits = mInstances.getFirst();
+        CallScheduler scheduler = callScheduler(limits);
+        Upstream other = upstream("other", "b");
+        scheduler.replaceUpstreams(List.of(mUpstream, other), 0);
+        limits.recordLeaving(mUpstream, 0);
+        for (int id = 1; id <= calls; id++) {
+            scheduler.offer(Samples.call(id, RequestKind.SINGLE_CALL, 1, 0), 0);
+        }
+
+        assertThat(starts(scheduler.advance(0)))
+                .hasSize(calls)
+                .allMatch(start -> start.upstream().equals(other));
+    }
+
+    @Test
+    void anUpstreamGetsNoRequestsDuringThePauseThatItAskedFor() {
+        createInstances(1);
+        UpstreamLimits limits = mInstances.getFirst();
+        limits.recordPause(mUpstream, Duration.ofSeconds(2), 0);
+        limits.recordPause(mUpstream, Duration.ofMillis(100), 500 * MS);
+        limits.expire(1_900 * MS);
+
+        assertThat(limits.isPermitted(mUpstream, 1_999 * MS)).isFalse();
+        assertThat(limits.isPermitted(mUpstream, 2_050 * MS)).isTrue();
+    }
+
+    /** A wrong statement must not take an upstream away for ever. */
+    @Test
+    void aHugePauseIsBoundedAndNoPauseChangesNothing() {
+        createInstances(1);
+        UpstreamLimits limits = mInstances.getFirst();
+        limits.recordPause(mUpstream, Duration.ofSeconds(-3), 0);
+        assertThat(limits.isPermitted(mUpstream, 0)).isTrue();
+
+        limits.recordPause(mUpstream, Duration.ofDays(365_000), 0);
+        long bound = UpstreamPauses.MAX_PAUSE.toNanos();
+        assertThat(limits.isPermitted(mUpstream, bound - MS)).isFalse();
+        assertThat(limits.isPermitted(mUpstream, bound + SECOND)).isTrue();
+    }
+
+    /** Requests that waited for the end of the pause must not arrive all at once. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 9, 95})
+    void requestsStartOneByOneAfterAPauseThatEndsAtAllInstancesTogether(int instances) {
+        createInstances(instances);
+        mInstances.forEach(limits -> limits.recordPause(mUpstream, Duration.ofSeconds(1), 0));
+        int early = 0;
+        int firstSecond = 0;
+        for (long now = 0; now < 2 * SECOND; now += MS) {
+            for (UpstreamLimits limits : mInstances) {
+                if (limits.isPermitted(mUpstream, now)) {
+                    limits.recordSent(mUpstream, now);
+                    early += now < SECOND ? 1 : 0;
+                    firstSecond += now >= SECOND ? 1 : 0;
+                }
+            }
+        }
+
+        assertThat(early).isZero();
+        // One request in 50 ms of all instances, or of each within 2 s when there are more.
+        assertThat(firstSecond).isBetween(1, Math.max(21, instances / 2 + instances / 4));
+    }
+
+    /** The caller learns when it is worth to come back, instead of waiting for its deadline. */
+    @Test
+    void callsAreRefusedUntilTheShortestPauseEndsWhenAllUpstreamsPause() {
+        createInstances(1);
+        UpstreamLimits limits = mInstances.getFirst();
+        CallScheduler scheduler = callScheduler(limits);
+        Upstream other = upstream("other", "b");
+        scheduler.replaceUpstreams(List.of(mUpstream, other), 0);
+        limits.recordPause(mUpstream, Duration.ofSeconds(5), 0);
+        limits.recordPause(other, Duration.ofSeconds(2), 0);
+        scheduler.offer(Samples.call(1, RequestKind.SINGLE_CALL, 1, 0), 0);
+        Decision.Finish finish = finishes(scheduler.advance(0)).getFirst();
+
+        assertThat(finish.ending()).isEqualTo(Ending.REFUSED);
+        assertThat(finish.retryAfter()).isBetween(Duration.ofSeconds(2), Duration.ofMillis(2_100));
+    }
+
+    private static CallScheduler callScheduler(UpstreamLimits limits) {
+        return new CallScheduler(
+                "service", Samples.LOCATIONS, Samples.retries(), limits, Samples.random());
+    }
 }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -292,6 +292,20 @@
                 });
     }
 
+    @Override
+    public void upstreamPaused(Upstream upstream, @Nullable Duration pause) {
+        mControl.execute(() -> recordPause(upstream, pause));
+    }
+
+    private void recordPause(Upstream upstream, @Nullable Duration pause) {
+        if (pause != null) {
+            mLimits.recordPause(upstream, pause, mTicker.nanos());
+            mLog.upstreamPaused(upstream, pause);
+        } else if (mLimits.recordLeaving(upstream, mTicker.nanos())) {
+            mLog.upstreamPaused(upstream, null);
+        }
+    }
+
     @Override
     public boolean hasRequestLimit(Upstream upstream) {
         return mLimited.contains(upstream.process());
@@ -459,12 +473,19 @@
         }
     }
 
+    private void recordLeaving(Upstream upstream, boolean leaving) {
+        if (leaving) {
+            recordPause(upstream, null);
+        }
+    }
+
     private void queryCachedParts(WorkScheduler scheduler, CacheAware aware, Upstream engine) {
         mQueries.fetchParts(
                 engine,
-                parts ->
+                (leaving, parts) ->
                         mControl.execute(
                                 () -> {
+                                    recordLeaving(engine, leaving);
                                     mLog.promptCacheQueried(engine, parts.size());
                                     aware.recordCachedParts(engine, parts, mTicker.nanos());
                                     executeDecisions(scheduler);
@@ -476,9 +497,10 @@
         long startedAt = mTicker.nanos();
         mQueries.checkLiveness(
                 check,
-                responded ->
+                (leaving, responded) ->
                         mControl.execute(
                                 () -> {
+                                    recordLeaving(check.engine(), leaving);
                                     drainInput();
                                     long now = mTicker.nanos();
                                     mLog.livenessChecked(check, responded, now - startedAt);
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/EngineQueryClient.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/EngineQueryClient.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.gentianwalk.core.dispatch.LivenessAware.LivenessCheck;
 import org.gentianwalk.core.dispatch.Upstream;
@@ -50,13 +51,14 @@
      * Queries an engine for its cached prompt parts.
      *
      * @param engine the engine
-     * @param callback receives the identifiers of the parts, on the traffic loop; an empty list
-     *     when the query fails or times out
+     * @param callback receives whether the engine's process is about to end, and the identifiers of
+     *     the parts, on the traffic loop; an empty list when the query fails or times out
      */
-    void fetchParts(Upstream engine, Consumer<List<Long>> callback) {
+    void fetchParts(Upstream engine, BiConsumer<Boolean, List<Long>> callback) {
         Consumer<@Nullable Response> parser =
                 response ->
                         callback.accept(
+                                isLeaving(engine, response),
                                 response != null && response.head().isSuccess()
                                         ? mDialect.parsePromptCache(response.body())
                                         : List.of());
@@ -67,13 +69,16 @@
      * Checks whether the process of an engine responds.
      *
      * @param check the check
-     * @param callback receives true, on the traffic loop, when the process sent any response in
-     *     time
+     * @param callback receives, on the traffic loop, whether the process is about to end, and
+     *     whether it sent any response in time
      */
-    void checkLiveness(LivenessCheck check, Consumer<Boolean> callback) {
+    void checkLiveness(LivenessCheck check, BiConsumer<Boolean, Boolean> callback) {
         Upstream engine = check.engine();
         Consumer<@Nullable Response> parser =
-                response -> callback.accept(response != null && isFrom(engine, response.head()));
+                response ->
+                        callback.accept(
+                                isLeaving(engine, response),
+                                response != null && isFrom(engine, response.head()));
         query(engine, mDialect.livenessPath(), check.timeout(), parser);
     }
 
@@ -83,6 +88,10 @@
         return !head.misdirected() && (id == null || id.equals(engine.id()));
     }
 
+    private static boolean isLeaving(Upstream engine, @Nullable Response response) {
+        return response != null && response.head().leaving() && isFrom(engine, response.head());
+    }
+
     private void query(
             Upstream engine, String path, Duration timeout, Consumer<@Nullable Response> callback) {
         mTraffic.execute(() -> new Query(engine, path, callback).start(timeout));
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
@@ -1,5 +1,6 @@
 package org.gentianwalk.gateway.log;
 
+import java.time.Duration;
 import java.util.Locale;
 import java.util.stream.Collectors;
 import org.gentianwalk.core.dispatch.AttemptEnd;
@@ -191,6 +192,22 @@
                         .with("requests_per_s", limit));
     }
 
+    /**
+     * Logs that an upstream wants no requests from this instance, for a time or any more.
+     *
+     * @param upstream the upstream
+     * @param pause the time, or null when its process is about to end
+     */
+    public void upstreamPaused(Upstream upstream, @Nullable Duration pause) {
+        LOG.infov(
+                pause == null ? "upstream is leaving" : "upstream wants a pause",
+                new Fields()
+                        .with("upstream", upstream.id())
+                        .with("service", upstream.service())
+                        .with("zone", upstream.zone())
+                        .with("pause_ms", pause == null ? null : pause.toMillis()));
+    }
+
     /**
      * Logs a new or changed entry of the list of upstreams.
      *
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/ControlPort.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/ControlPort.java
@@ -1,5 +1,6 @@
 package org.gentianwalk.gateway.traffic;
 
+import java.time.Duration;
 import org.gentianwalk.core.dispatch.AttemptEnd;
 import org.gentianwalk.core.dispatch.Progress;
 import org.gentianwalk.core.dispatch.Upstream;
@@ -58,6 +59,14 @@
      */
     void requestLimitStated(Upstream upstream, @Nullable Double limit);
 
+    /**
+     * Reports that an upstream wants no requests from this instance, for a time or any more.
+     *
+     * @param upstream the upstream
+     * @param pause the time, or null when its process is about to end
+     */
+    void upstreamPaused(Upstream upstream, @Nullable Duration pause);
+
     /**
      * Returns whether an upstream has stated a limit and has not lifted it. Thread-safe.
      *
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -291,7 +291,10 @@
         public void onHead(ResponseHead head, HttpHeaders headers) {
             mHead = head;
             mHeaders = headers;
-            reportRequestLimit(head.requestLimit());
+            if (!head.misdirected()) {
+                reportRequestLimit(head.requestLimit());
+                reportPause(head);
+            }
             mCollaborators.dialect().removeInternalHeaders(headers);
             mStreaming =
                     mWork.kind().isStream()
@@ -307,6 +310,14 @@
             }
         }
 
+        private void reportPause(ResponseHead head) {
+            if (head.leaving()) {
+                mCollaborators.control().upstreamPaused(mStart.upstream(), null);
+            } else if (head.pause() != null) {
+                mCollaborators.control().upstreamPaused(mStart.upstream(), head.pause());
+            }
+        }
+
         @Override
         public void onBody(byte[] part) {
             if (mAttempt != this) {
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/wire/ResponseHead.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/wire/ResponseHead.java
@@ -17,6 +17,8 @@
  * @param load load of the upstream, or null without one
  * @param requestLimit requests a second that the upstream accepts from all instances together, or
  *     null when it states no limit
+ * @param leaving true when the upstream's process is about to end and wants no further requests
+ * @param pause time for which the upstream wants no requests from this instance, or null
  * @param keepAlive how long the upstream keeps an idle connection open, or null without one
  */
 public record ResponseHead(
@@ -29,6 +31,8 @@
         boolean eventStream,
         @Nullable UpstreamLoad load,
         @Nullable Double requestLimit,
+        boolean leaving,
+        @Nullable Duration pause,
         @Nullable Duration keepAlive) {
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_AFTER_SUCCESS = 300;
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/PlainDialect.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/PlainDialect.java
@@ -52,6 +52,8 @@
                 headers.contains("x-events"),
                 null,
                 null,
+                false,
+                null,
                 keepAlive == null ? null : Duration.ofSeconds(Long.parseLong(keepAlive)));
     }
 
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -448,7 +448,8 @@
         Exchange exchange = exchange(RequestKind.IDEMPOTENT_CALL, 0);
         start(exchange, 1, FIRST);
         ResponseHead limited =
-                new ResponseHead("id-1", 200, false, false, null, true, false, null, 3.5, null);
+                new ResponseHead(
+                        "id-1", 200, false, false, null, true, false, null, 3.5, false, null, null);
         mSent.getFirst().listener().onHead(limited, new DefaultHttpHeaders());
         assertThat(mControl.mLog).containsExactly("limit 3.5");
         mSent.getFirst().listener().onHead(head(200, true, false, false), new DefaultHttpHeaders());
@@ -459,6 +460,38 @@
         assertThat(mControl.mLog).containsExactly("limit 3.5", "limit null");
     }
 
+    /** A request that is sent although its upstream is about to end may be cut off there. */
+    @Test
+    void upstreamsThatLeaveOrWantAPauseAreReportedWithAnyAnswer() {
+        Exchange exchange = exchange(RequestKind.IDEMPOTENT_CALL, 0);
+        start(exchange, 1, FIRST);
+        UpstreamListener listener = mSent.getFirst().listener();
+        listener.onHead(asking(500, false, true, null), new DefaultHttpHeaders());
+        listener.onHead(asking(503, false, false, Duration.ofSeconds(2)), new DefaultHttpHeaders());
+        listener.onHead(asking(421, true, true, null), new DefaultHttpHeaders());
+
+        assertThat(mControl.mLog)
+                .as("a misdirected request was answered by another process")
+                .containsExactly("paused null", "paused PT2S");
+    }
+
+    private static ResponseHead asking(
+            int status, boolean misdirected, boolean leaving, Duration pause) {
+        return new ResponseHead(
+                "id-1",
+                status,
+                false,
+                misdirected,
+                null,
+                true,
+                false,
+                null,
+                null,
+                leaving,
+                pause,
+                null);
+    }
+
     private void events(int index, String text) {
         UpstreamListener listener = mSent.get(index).listener();
         listener.onHead(head(200, true, true, false), new DefaultHttpHeaders());
@@ -476,6 +509,8 @@
                 events,
                 (UpstreamLoad) null,
                 null,
+                false,
+                null,
                 null);
     }
 
@@ -546,6 +581,11 @@
             mLog.add("limit " + limit);
         }
 
+        @Override
+        public void upstreamPaused(Upstream upstream, Duration pause) {
+            mLog.add("paused " + pause);
+        }
+
         @Override
         public boolean hasRequestLimit(Upstream upstream) {
             return mHasLimit;
