Poll the store before what readers announced is too old

Cause: a reader that the store rejects without a response sent heartbeats for 3.5 s after the last response, and a follower took each of them for a proof that the table was up to date. The bound was a constant that had nothing to do with the time within which changes must be in force.

Change: that time comes from the settings, for the configuration and for the list of upstreams. Readers broadcast each response of the store instead of heartbeats of their own. A follower relies on the latest one for 0.85 of the bound, and then polls the store itself; a long poll ends after 0.6 of the bound, so that followers hear of a response in time. With 2.5 s, a reader makes a call every 1.5 s instead of 2 s while nothing changes, and sends two messages in 3 s instead of six.

Tests: aFollowerPollsTheStoreWithinTheTimeForChanges. The other tests of the watcher set their own times and are unchanged.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/GatewaySettings.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/GatewaySettings.java
@@ -19,6 +19,8 @@
  * @param mesh address and keys of the mesh between instances
  * @param store address of the shared store
  * @param retries the fleet's bounds on retries
+ * @param configChange time within which a new configuration must be in force
+ * @param upstreamChange time within which a change in the list of upstreams must be in force
  * @param stopGrace time from the request to stop until the process is killed
  * @param logLevel minimum level of the lines that are logged
  */
@@ -31,6 +33,8 @@
         Mesh mesh,
         String store,
         RetryBounds retries,
+        Duration configChange,
+        Duration upstreamChange,
         Duration stopGrace,
         String logLevel) {
     /**
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -45,6 +45,7 @@
 import org.gentianwalk.gateway.store.RowStore.Row;
 import org.gentianwalk.gateway.store.TableListener;
 import org.gentianwalk.gateway.store.TableWatcher;
+import org.gentianwalk.gateway.store.TableWatcher.WatchTimes;
 import org.gentianwalk.gateway.store.UnreadableRowException;
 import org.gentianwalk.gateway.traffic.ControlPort;
 import org.gentianwalk.gateway.traffic.Delivery;
@@ -62,12 +63,6 @@
     /** Interval of the periodic tick while no request is in progress. */
     private static final Duration IDLE_TICK = Duration.ofMillis(120);
 
-    /**
-     * Longest wait of one long poll for changes. It bounds the time to detect a dead connection to
-     * the store, and has to be shorter than the time in which a new configuration must be in force.
-     */
-    private static final Duration WATCH_WAIT = Duration.ofSeconds(2);
-
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(1_500);
 
     /** Pause between polls, so that bursts of changes share a call; the store bills each call. */
@@ -139,14 +134,15 @@
                         fleet,
                         mRowFormat.configTable(),
                         new ConfigTableListener(),
-                        CONFIG_PAUSE));
+                        WatchTimes.within(mSettings.configChange(), STORE_TIMEOUT, CONFIG_PAUSE)));
         mWatchers.add(
                 createWatcher(
                         store,
                         fleet,
                         mRowFormat.upstreamTable(),
                         new UpstreamTableListener(),
-                        UPSTREAM_PAUSE));
+                        WatchTimes.within(
+                                mSettings.upstreamChange(), STORE_TIMEOUT, UPSTREAM_PAUSE)));
         fleet.setWatchers(mWatchers);
         fleet.start(mSettings.mesh().address());
         mFleet = fleet;
@@ -155,15 +151,13 @@
     }
 
     private TableWatcher createWatcher(
-            RowStore store, FleetLink fleet, String table, TableListener listener, Duration pause) {
+            RowStore store,
+            FleetLink fleet,
+            String table,
+            TableListener listener,
+            WatchTimes times) {
         return new TableWatcher(
-                store,
-                table,
-                listener,
-                fleet.tableFeed(),
-                mControl,
-                mTicker,
-                new TableWatcher.WatchTimes(WATCH_WAIT, STORE_TIMEOUT, pause));
+                store, table, listener, fleet.tableFeed(), mControl, mTicker, times);
     }
 
     /**
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/FleetLink.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/FleetLink.java
@@ -95,7 +95,7 @@
         Membership membership = new Membership(mSelf, MembershipOptions.DEFAULT, incarnation);
         mDriver = new MembershipDriver(membership, mMesh, control, ticker);
         mLoads = new LoadExchange(mMesh, mSelf, listener, ticker);
-        mTables = new TableExchange(mMesh, mSelf, control, ticker, new Random(incarnation));
+        mTables = new TableExchange(mMesh, mSelf, control, new Random(incarnation));
     }
 
     /**
@@ -118,7 +118,6 @@
     /** Sends due messages. Must be called on the control thread, at least every 50 ms. */
     public void advance() {
         mLoads.advance();
-        mTables.advance();
     }
 
     /** Processes the load notices that have arrived. Must be called before decisions are made. */
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/TableExchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/TableExchange.java
@@ -12,7 +12,6 @@
 import java.util.random.RandomGenerator;
 import org.gentianwalk.core.membership.Member;
 import org.gentianwalk.core.membership.MemberView;
-import org.gentianwalk.core.time.Ticker;
 import org.gentianwalk.gateway.store.RowStore.Result;
 import org.gentianwalk.gateway.store.RowStore.Row;
 import org.gentianwalk.gateway.store.TableAnnouncer;
@@ -29,25 +28,19 @@
 
 /**
  * Lets a few instances of each region, the readers, poll the shared store for all instances of the
- * region. A reader broadcasts each change, and a heartbeat twice a second while nothing changes, so
- * that a follower detects within about a second that it has to poll the store itself. Confined to
- * the control thread.
+ * region. A reader broadcasts what each response of the store contains, also when nothing has
+ * changed. A follower thus knows how old the last response is, and polls the store itself before
+ * that exceeds the time within which changes must be in force. Confined to the control thread.
  */
 final class TableExchange implements TableFeed {
     /** Readers of each region: two, so that one may fail before its failure is detected. */
     private static final int READERS = 2;
 
-    private static final long HEARTBEAT_NANOS = Duration.ofMillis(500).toNanos();
-
-    /** Maximum age of the store's last response up to which a reader sends heartbeats. */
-    private static final long MAX_ANSWER_AGE_NANOS = Duration.ofMillis(3_500).toNanos();
-
     private static final Duration PULL_TIMEOUT = Duration.ofMillis(700);
 
     private final MeshNode mMesh;
     private final Member mSelf;
     private final Executor mControl;
-    private final Ticker mTicker;
     private final RandomGenerator mRandom;
     private final Map<String, TableWatcher> mWatchers = new HashMap<>();
     private final Map<String, TableState> mStates = new HashMap<>();
@@ -55,12 +48,10 @@
     private List<Member> mOtherMembers = List.of();
     private boolean mReader = true;
 
-    TableExchange(
-            MeshNode mesh, Member self, Executor control, Ticker ticker, RandomGenerator random) {
+    TableExchange(MeshNode mesh, Member self, Executor control, RandomGenerator random) {
         mMesh = mesh;
         mSelf = self;
         mControl = control;
-        mTicker = ticker;
         mRandom = random;
         mesh.registerHandler(
                 MessageType.TABLE_NEWS,
@@ -82,8 +73,6 @@
     /** State of one table. */
     private static final class TableState {
         final TableAnnouncer mAnnouncer;
-        long mReadAt;
-        long mSentAt;
         boolean mReachable;
 
         TableState(String table) {
@@ -115,31 +104,15 @@
         mReader = precedingMembers < READERS;
     }
 
-    /** Sends the heartbeats that are due. Must be called at least every 50 ms. */
-    void advance() {
-        long now = mTicker.nanos();
-        mStates.values()
-                .forEach(
-                        state -> {
-                            boolean publishes = mReader && state.mReachable;
-                            if (publishes
-                                    && now - state.mReadAt < MAX_ANSWER_AGE_NANOS
-                                    && now - state.mSentAt >= HEARTBEAT_NANOS) {
-                                publish(state, List.of());
-                            }
-                        });
-    }
-
     @Override
     public void reportRead(String table, long from, long to, List<Row> rows) {
         TableState state = mStates.computeIfAbsent(table, TableState::new);
         state.mAnnouncer.recordRead(from, to);
-        state.mReadAt = mTicker.nanos();
         state.mReachable = true;
         if (!mReader) {
             state.mAnnouncer.skip();
-        } else if (!rows.isEmpty()) {
-            publish(state, rows);
+        } else {
+            broadcast(encode(state.mAnnouncer.announce(rows)));
         }
     }
 
@@ -193,11 +166,6 @@
         return snapshot == null ? null : encode(snapshot);
     }
 
-    private void publish(TableState state, List<Row> rows) {
-        state.mSentAt = mTicker.nanos();
-        broadcast(encode(state.mAnnouncer.announce(rows)));
-    }
-
     private void broadcast(TableNews news) {
         for (Member member : mRegionMembers) {
             mMesh.send(MeshPeer.of(member), MessageType.TABLE_NEWS, news);
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/settings/SettingsReader.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/settings/SettingsReader.java
@@ -41,6 +41,8 @@
                     "retry_ratio",
                     "retry_slack",
                     "retry_window_s",
+                    "config_change_ms",
+                    "upstream_change_ms",
                     "stop_grace_s",
                     "log_level");
 
@@ -50,6 +52,9 @@
     private static final double DEFAULT_RETRY_SLACK = 20;
     private static final double DEFAULT_RETRY_WINDOW_S = 10;
     private static final double DEFAULT_STOP_GRACE_S = 8;
+    private static final double DEFAULT_CHANGE_MS = 2_500;
+    private static final double MIN_CHANGE_MS = 500;
+    private static final double MAX_CHANGE_MS = 60_000;
     private static final int MAX_PORT = 65_535;
     private static final double MILLIS_PER_SECOND = 1000;
 
@@ -104,6 +109,8 @@
                         number(root, "retry_ratio", DEFAULT_RETRY_RATIO, 0, 10),
                         number(root, "retry_slack", DEFAULT_RETRY_SLACK, 0, 1e6),
                         seconds(root, "retry_window_s", DEFAULT_RETRY_WINDOW_S)),
+                millis(root, "config_change_ms"),
+                millis(root, "upstream_change_ms"),
                 seconds(root, "stop_grace_s", DEFAULT_STOP_GRACE_S),
                 logLevel(root));
     }
@@ -160,6 +167,11 @@
         return level;
     }
 
+    private static Duration millis(JsonNode root, String key) throws SettingsException {
+        double millis = number(root, key, DEFAULT_CHANGE_MS, MIN_CHANGE_MS, MAX_CHANGE_MS);
+        return Duration.ofMillis(Math.round(millis));
+    }
+
     private static Duration seconds(JsonNode root, String key, double defaultValue)
             throws SettingsException {
         double seconds = number(root, key, defaultValue, 0.001, 1e6);
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
@@ -26,14 +26,8 @@
     private static final Duration INITIAL_BACKOFF = Duration.ofMillis(150);
     private static final Duration MAX_BACKOFF = Duration.ofMillis(600);
 
-    /**
-     * Time without a message from a reader (an instance that polls the store for others) after
-     * which this instance polls the store itself. Readers send a message twice a second.
-     */
-    private static final long READER_TIMEOUT_NANOS = Duration.ofMillis(1_200).toNanos();
-
-    /** Interval of the check that messages from readers still arrive. */
-    private static final Duration READER_CHECK = Duration.ofMillis(300);
+    /** Interval at which an instance that relies on readers checks whether it is one itself. */
+    private static final Duration ROLE_CHECK = Duration.ofMillis(300);
 
     private final RowStore mStore;
     private final String mTable;
@@ -85,8 +79,35 @@
      * @param longPoll longest wait for a change; bounds the time to detect a lost call
      * @param timeout longest wait for the response to any other call
      * @param pause time between two polls, so that a burst of changes costs one call
+     * @param trust time after the latest message from a reader (an instance that polls the store
+     *     for others) for which this instance does not poll the store itself; readers send a
+     *     message for each response of the store
      */
-    public record WatchTimes(Duration longPoll, Duration timeout, Duration pause) {}
+    public record WatchTimes(Duration longPoll, Duration timeout, Duration pause, Duration trust) {
+        /** Part of the bound after which a long poll ends, so that readers send a message. */
+        private static final double LONG_POLL_PART = 0.6;
+
+        /** Part of the bound after which a follower polls; the rest is for that poll. */
+        private static final double TRUST_PART = 0.85;
+
+        /**
+         * Returns times with which changes are known within a bound, also when the store rejects
+         * the readers.
+         *
+         * @param bound time after the store's response within which a change must be in force
+         * @param timeout longest wait for the response to a call
+         * @param pause time between two polls
+         * @return the times
+         */
+        public static WatchTimes within(Duration bound, Duration timeout, Duration pause) {
+            return new WatchTimes(
+                    part(bound, LONG_POLL_PART), timeout, pause, part(bound, TRUST_PART));
+        }
+
+        private static Duration part(Duration bound, double part) {
+            return Duration.ofNanos(Math.round(bound.toNanos() * part));
+        }
+    }
 
     /** Starts to watch the table. */
     public void start() {
@@ -143,8 +164,16 @@
     }
 
     private boolean isFedByReader() {
+        return remainingTrustNanos() > 0;
+    }
+
+    /** Returns for how long this instance relies on readers, nanoseconds; 0 if it does not. */
+    private long remainingTrustNanos() {
         Long at = mReaderHeardAt;
-        return at != null && !mFeed.isReader() && mTicker.nanos() - at < READER_TIMEOUT_NANOS;
+        if (at == null || mFeed.isReader()) {
+            return 0;
+        }
+        return Math.max(0, mTimes.trust().toNanos() - (mTicker.nanos() - at));
     }
 
     private void readAll() {
@@ -194,9 +223,11 @@
             return;
         }
         mNextPoll = null;
-        if (isFedByReader()) {
-            mNextPoll =
-                    mControl.schedule(this::poll, READER_CHECK.toMillis(), TimeUnit.MILLISECONDS);
+        long trust = remainingTrustNanos();
+        if (trust > 0) {
+            // This instance may become a reader in the meantime.
+            long delay = Math.min(trust, ROLE_CHECK.toNanos());
+            mNextPoll = mControl.schedule(this::poll, delay, TimeUnit.NANOSECONDS);
             return;
         }
         long since = mMirror.version();
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/settings/SettingsReaderTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/settings/SettingsReaderTest.java
@@ -25,6 +25,8 @@
         assertThat(settings.callers().getPort()).isEqualTo(8740);
         assertThat(settings.retries().ratio()).isEqualTo(0.8);
         assertThat(settings.stopGrace()).isEqualTo(Duration.ofSeconds(8));
+        assertThat(settings.configChange()).isEqualTo(Duration.ofSeconds(3));
+        assertThat(settings.upstreamChange()).isEqualTo(Duration.ofSeconds(2));
         assertThat(settings.mesh().keys()).singleElement();
     }
 
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherTest.java
@@ -15,6 +15,8 @@
 import org.gentianwalk.gateway.store.RowStore.Row;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against changes in the store that an instance misses. */
 class TableWatcherTest {
@@ -58,7 +60,8 @@
                         new TableWatcher.WatchTimes(
                                 Duration.ofSeconds(4),
                                 Duration.ofMillis(1_500),
-                                Duration.ofMillis(100)));
+                                Duration.ofMillis(100),
+                                Duration.ofMillis(1_500)));
         mWatcher.start();
     }
 
@@ -158,6 +161,63 @@
         assertThat(mStore.mOpen).as("a change has to be in force within 2.5 s").hasSize(1);
     }
 
+    /**
+     * A reader that the store rejects without a response notices it only at the end of its call. A
+     * follower that relies on it for longer sends requests to upstreams that have left.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {500, 2_500, 5_000})
+    void aFollowerPollsTheStoreWithinTheTimeForChanges(int boundMillis) {
+        Duration bound = Duration.ofMillis(boundMillis);
+        TableWatcher.WatchTimes times =
+                TableWatcher.WatchTimes.within(
+                        bound, Duration.ofMillis(1_500), Duration.ofMillis(100));
+        ManualExecutor control = new ManualExecutor();
+        ScriptedStore store = new ScriptedStore();
+        mFeed.mReader = false;
+        TableWatcher follower =
+                new TableWatcher(
+                        store,
+                        "table",
+                        new IgnoringListener(),
+                        mFeed,
+                        control,
+                        control::nanos,
+                        times);
+        follower.start();
+        store.mOpen.remove().complete(new Result.Rows(List.of(), false, 5));
+        control.runAll();
+        follower.applyPeerChanges(changes(5, 5));
+        store.mOpen.remove().complete(new Result.Rows(List.of(), false, 5));
+        control.runAll();
+        control.advance(Duration.ZERO);
+
+        control.advance(times.longPoll().plusMillis(50));
+        assertThat(store.mOpen)
+                .as("a reader that gets responses sends a message by then")
+                .isEmpty();
+        control.advance(bound.multipliedBy(9).dividedBy(10).minusNanos(control.nanos()));
+        assertThat(store.mOpen).as("calls to the store in time").hasSize(1);
+    }
+
+    /** Receives rows that a test does not look at. */
+    private static final class IgnoringListener implements TableListener {
+        @Override
+        public void replaced(List<Row> rows) {
+            // The calls to the store are observed instead.
+        }
+
+        @Override
+        public void changed(List<Row> rows) {
+            // The calls to the store are observed instead.
+        }
+
+        @Override
+        public void unavailable(String reason) {
+            // The calls to the store are observed instead.
+        }
+    }
+
     @Test
     void aGapInReceivedChangesCausesAnImmediatePoll() {
         mFeed.mReader = false;
