Resume reading before a connection to an upstream is kept

Found by the review by reading: a caller that reads slowly pauses the reading of the upstream's connection. If the response ended in the same batch of input, the connection was kept with reading paused, and the next request on it got 504 at its deadline although its upstream answered.

Evidence: aPauseOfReadingEndsWithItsRequest fails without the change.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
@@ -259,6 +259,8 @@
         // request as the rest of that body.
         boolean sent = written != null && written.isSuccess();
         if (mReusable && sent) {
+            // A slow caller may have paused reading, which must not affect the next request.
+            setReading(true);
             mIdleSince = mClient.now();
             mClient.addIdle(this);
         } else {
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
@@ -172,6 +172,17 @@
         assertThat(mConnection.isUsable(mTicker.nanos(), request("next", false))).isFalse();
     }
 
+    /** The next request on the connection would get no response until its deadline. */
+    @Test
+    void aPauseOfReadingEndsWithItsRequest() {
+        send("one", false);
+        mConnection.setReading(false);
+        answer(OK);
+
+        assertThat(mListener.mComplete).isTrue();
+        assertThat(mChannel.config().isAutoRead()).isTrue();
+    }
+
     @Test
     void connectionCloseOfTheUpstreamIsRespected() {
         send("one", false);
