Take the bounds on changes from the environment of the process

A key in the settings file still goes first, and a value that is no number or out of range is rejected like one in the file.

Tests: theEnvironmentStatesTimesThatTheFileOmits, aWrongTimeInTheEnvironmentIsRejected.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/settings/SettingsReader.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/settings/SettingsReader.java
@@ -1,6 +1,7 @@
 package org.gentianwalk.gateway.settings;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -11,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import org.gentianwalk.core.dispatch.LocationMap;
@@ -58,8 +60,24 @@
     private static final int MAX_PORT = 65_535;
     private static final double MILLIS_PER_SECOND = 1000;
 
-    /** Creates a reader. */
-    public SettingsReader() {}
+    /** Prefix of the environment variables that stand for keys; the key follows in capitals. */
+    private static final String VARIABLE_PREFIX = "GENTIANWALK_";
+
+    private final Map<String, String> mEnvironment;
+
+    /** Creates a reader that uses the environment of the process. */
+    public SettingsReader() {
+        this(System.getenv());
+    }
+
+    /**
+     * Creates a reader.
+     *
+     * @param environment environment variables, for the times that the file does not state
+     */
+    SettingsReader(Map<String, String> environment) {
+        mEnvironment = Map.copyOf(environment);
+    }
 
     /**
      * Reads a settings file.
@@ -86,7 +104,7 @@
      * @return the settings
      * @throws SettingsException if a value is not valid
      */
-    static GatewaySettings read(JsonNode root) throws SettingsException {
+    GatewaySettings read(JsonNode root) throws SettingsException {
         if (!root.isObject()) {
             throw new SettingsException("the settings file must hold keys with values");
         }
@@ -167,11 +185,26 @@
         return level;
     }
 
-    private static Duration millis(JsonNode root, String key) throws SettingsException {
-        double millis = number(root, key, DEFAULT_CHANGE_MS, MIN_CHANGE_MS, MAX_CHANGE_MS);
+    private Duration millis(JsonNode root, String key) throws SettingsException {
+        String variable = VARIABLE_PREFIX + key.toUpperCase(Locale.ROOT);
+        String text = mEnvironment.get(variable);
+        JsonNode given = root;
+        if (!root.hasNonNull(key) && text != null) {
+            given = JsonNodeFactory.instance.objectNode().put(key, parseNumber(variable, text));
+        }
+        double millis = number(given, key, DEFAULT_CHANGE_MS, MIN_CHANGE_MS, MAX_CHANGE_MS);
         return Duration.ofMillis(Math.round(millis));
     }
 
+    private static double parseNumber(String variable, String text) throws SettingsException {
+        try {
+            return Double.parseDouble(text.trim());
+        } catch (NumberFormatException e) {
+            throw new SettingsException(
+                    "environment variable " + variable + " must be a number", e);
+        }
+    }
+
     private static Duration seconds(JsonNode root, String key, double defaultValue)
             throws SettingsException {
         double seconds = number(root, key, defaultValue, 0.001, 1e6);
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/settings/SettingsReaderTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/settings/SettingsReaderTest.java
@@ -7,12 +7,14 @@
 import java.net.URISyntaxException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Objects;
 import org.gentianwalk.core.model.Location.Distance;
 import org.gentianwalk.gateway.GatewaySettings;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against instances that start with wrong or misspelled settings. */
 class SettingsReaderTest {
@@ -39,6 +41,33 @@
         assertThat(settings.stopGrace()).isPositive();
     }
 
+    /** A deployment may be able to pass its bounds to the process but not into the file. */
+    @Test
+    void theEnvironmentStatesTimesThatTheFileOmits() throws Exception {
+        Map<String, String> environment =
+                Map.of(
+                        "GENTIANWALK_CONFIG_CHANGE_MS",
+                        "4000",
+                        "GENTIANWALK_UPSTREAM_CHANGE_MS",
+                        "1500");
+        GatewaySettings omitted = new SettingsReader(environment).read(file("least"));
+        GatewaySettings stated = new SettingsReader(environment).read(file("whole"));
+
+        assertThat(omitted.configChange()).isEqualTo(Duration.ofSeconds(4));
+        assertThat(omitted.upstreamChange()).isEqualTo(Duration.ofMillis(1_500));
+        assertThat(stated.configChange()).as("the file goes first").hasSeconds(3);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"soon", "-1", "1e9"})
+    void aWrongTimeInTheEnvironmentIsRejected(String value) {
+        SettingsReader reader = new SettingsReader(Map.of("GENTIANWALK_UPSTREAM_CHANGE_MS", value));
+
+        assertThatThrownBy(() -> reader.read(file("least")))
+                .isInstanceOf(SettingsException.class)
+                .hasMessageContaining("must be a number");
+    }
+
     @Test
     void aSecretIsNotPrinted() throws Exception {
         assertThat(read("whole").toString()).doesNotContain("a-secret-of-many-letters");
@@ -64,12 +93,12 @@
 
     private static GatewaySettings read(String name)
             throws SettingsException, URISyntaxException, IOException {
-        return new SettingsReader()
-                .read(
-                        Path.of(
-                                Objects.requireNonNull(
-                                                SettingsReaderTest.class.getResource(
-                                                        "/settings/" + name + ".yaml"))
-                                        .toURI()));
+        return new SettingsReader(Map.of()).read(file(name));
+    }
+
+    private static Path file(String name) throws URISyntaxException {
+        String resource = "/settings/" + name + ".yaml";
+        return Path.of(
+                Objects.requireNonNull(SettingsReaderTest.class.getResource(resource)).toURI());
     }
 }
