--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallSchedulerTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallSchedulerTest.java
@@ -20,13 +20,7 @@
     private final Upstream mNear = upstream("near", "a");
     private final Upstream mNextZone = upstream("next", "b");
     private final Upstream mFar = upstream("far", "c");
-    private final CallScheduler mScheduler =
-            new CallScheduler(
-                    "service",
-                    Samples.LOCATIONS,
-                    Samples.retries(),
-                    Samples.limits(),
-                    Samples.random());
+    private final CallScheduler mScheduler = Samples.callScheduler(Samples.limits());
 
     @BeforeEach
     void listUpstreams() {
@@ -68,13 +62,7 @@
     void aCallThatMayRunOnceIsSentElsewhereWhenItHasNotRun() {
         for (AttemptEnd end :
                 List.of(AttemptEnd.REJECTED, AttemptEnd.UNREACHABLE, AttemptEnd.MISDIRECTED)) {
-            CallScheduler scheduler =
-                    new CallScheduler(
-                            "service",
-                            Samples.LOCATIONS,
-                            Samples.retries(),
-                            Samples.limits(),
-                            Samples.random());
+            CallScheduler scheduler = Samples.callScheduler(Samples.limits());
             scheduler.replaceUpstreams(List.of(mNear, mNextZone, mFar), 0);
             scheduler.offer(Samples.call(1, RequestKind.SINGLE_CALL, 1, 0), 0);
             scheduler.advance(0);
@@ -104,13 +92,7 @@
 
     @Test
     void aCallThatMayHaveRunIsNotRefused() {
-        CallScheduler scheduler =
-                new CallScheduler(
-                        "service",
-                        Samples.LOCATIONS,
-                        Samples.retries(),
-                        Samples.limits(),
-                        Samples.random());
+        CallScheduler scheduler = Samples.callScheduler(Samples.limits());
         scheduler.replaceUpstreams(List.of(mNear), 0);
         scheduler.offer(Samples.call(1, RequestKind.IDEMPOTENT_CALL, 3, 0), 0);
         scheduler.advance(0);
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingCallTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingCallTest.java
@@ -247,16 +247,7 @@
             if (now >= restart.getValue()) {
                 mRestarts.remove(restart.getKey());
                 Upstream old = mUpstreams.get(restart.getKey());
-                mUpstreams.put(
-                        old.id(),
-                        new Upstream(
-                                old.id(),
-                                now,
-                                old.service(),
-                                old.address(),
-                                old.zone(),
-                                old.slots(),
-                                false));
+                mUpstreams.put(old.id(), Samples.restarted(old, now));
                 changed = true;
             }
         }
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingPartTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingPartTest.java
@@ -268,16 +268,7 @@
             if (now >= restart.getValue()) {
                 mRestarts.remove(restart.getKey());
                 Upstream old = mEngines.get(restart.getKey());
-                mEngines.put(
-                        old.id(),
-                        new Upstream(
-                                old.id(),
-                                now,
-                                old.service(),
-                                old.address(),
-                                old.zone(),
-                                old.slots(),
-                                false));
+                mEngines.put(old.id(), Samples.restarted(old, now));
                 changed = true;
             }
         }
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/Samples.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/Samples.java
@@ -52,6 +52,26 @@
                 true);
     }
 
+    /** Returns the entry of another process under the same identifier and address. */
+    static Upstream restarted(Upstream upstream, long incarnation) {
+        return new Upstream(
+                upstream.id(),
+                incarnation,
+                upstream.service(),
+                upstream.address(),
+                upstream.zone(),
+                upstream.slots(),
+                false);
+    }
+
+    static CallScheduler callScheduler(UpstreamLimits limits) {
+        return new CallScheduler("service", LOCATIONS, retries(), limits, random());
+    }
+
+    static StreamScheduler streamScheduler(UpstreamLimits limits) {
+        return new StreamScheduler("service", SPEC, LOCATIONS, retries(), limits, random());
+    }
+
     static Work call(long id, RequestKind kind, int maxAttempts, long now) {
         return new Work(
                 id,
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamSchedulerTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamSchedulerTest.java
@@ -31,14 +31,7 @@
                             upstream("b1", "b"),
                             upstream("b2", "b"),
                             upstream("c1", "c")));
-    private final StreamScheduler mScheduler =
-            new StreamScheduler(
-                    "service",
-                    Samples.SPEC,
-                    Samples.LOCATIONS,
-                    Samples.retries(),
-                    Samples.limits(),
-                    Samples.random());
+    private final StreamScheduler mScheduler = Samples.streamScheduler(Samples.limits());
 
     @BeforeEach
     void listEngines() {
@@ -97,14 +90,7 @@
         List<Upstream> regionEngines = mEngines.subList(0, names.size());
         List<String> chosen = new ArrayList<>();
         for (int position = 0; position < names.size(); position++) {
-            StreamScheduler scheduler =
-                    new StreamScheduler(
-                            "service",
-                            Samples.SPEC,
-                            Samples.LOCATIONS,
-                            Samples.retries(),
-                            Samples.limits(),
-                            Samples.random());
+            StreamScheduler scheduler = Samples.streamScheduler(Samples.limits());
             Set<String> peers = new HashSet<>(names);
             peers.remove("peer-" + (position + 1));
             scheduler.updatePeers(new PeerView(peers, position));
@@ -610,14 +596,7 @@
     @Test
     void aGenerationIsRefusedAtOnceWhenAllEnginesPauseBeyondItsDeadline() {
         UpstreamLimits limits = Samples.limits();
-        StreamScheduler scheduler =
-                new StreamScheduler(
-                        "service",
-                        Samples.SPEC,
-                        Samples.LOCATIONS,
-                        Samples.retries(),
-                        limits,
-                        Samples.random());
+        StreamScheduler scheduler = Samples.streamScheduler(limits);
         scheduler.replaceUpstreams(mEngines, 0);
         mEngines.forEach(engine -> limits.recordPause(engine, Duration.ofSeconds(300), 0));
         scheduler.offer(stream(1, 2, 8_000, 0), 0);
@@ -630,14 +609,7 @@
     @Test
     void aGenerationWaitsForAShortPauseOfAllEngines() {
         UpstreamLimits limits = Samples.limits();
-        StreamScheduler scheduler =
-                new StreamScheduler(
-                        "service",
-                        Samples.SPEC,
-                        Samples.LOCATIONS,
-                        Samples.retries(),
-                        limits,
-                        Samples.random());
+        StreamScheduler scheduler = Samples.streamScheduler(limits);
         scheduler.replaceUpstreams(mEngines, 0);
         mEngines.forEach(engine -> limits.recordPause(engine, Duration.ofSeconds(1), 0));
         scheduler.offer(stream(1, 2, 8_000, 0), 0);
@@ -650,14 +622,7 @@
     @Test
     void aLeavingEngineKeepsNoCopies() {
         UpstreamLimits limits = Samples.limits();
-        StreamScheduler scheduler =
-                new StreamScheduler(
-                        "service",
-                        Samples.SPEC,
-                        Samples.LOCATIONS,
-                        Samples.retries(),
-                        limits,
-                        Samples.random());
+        StreamScheduler scheduler = Samples.streamScheduler(limits);
         scheduler.replaceUpstreams(mEngines, 0);
         mEngines.stream()
                 .filter(engine -> !engine.id().equals("a1"))
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamLimitsTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamLimitsTest.java
@@ -143,15 +143,7 @@
     void aNewProcessHasNoLimit() {
         createInstances(1);
         mInstances.getFirst().recordStatement(mUpstream, 0.1, 0);
-        Upstream restarted =
-                new Upstream(
-                        mUpstream.id(),
-                        2,
-                        mUpstream.service(),
-                        mUpstream.address(),
-                        mUpstream.zone(),
-                        mUpstream.slots(),
-                        false);
+        Upstream restarted = Samples.restarted(mUpstream, 2);
 
         assertThat(mInstances.getFirst().isPermitted(restarted, MS)).isTrue();
     }
@@ -160,9 +152,7 @@
     void callsGoToUpstreamsWithoutALimitOrAreRefusedAtOnce() {
         UpstreamLimits limits = Samples.limits();
         Upstream other = upstream("other", "b");
-        CallScheduler scheduler =
-                new CallScheduler(
-                        "service", Samples.LOCATIONS, Samples.retries(), limits, Samples.random());
+        CallScheduler scheduler = Samples.callScheduler(limits);
         scheduler.replaceUpstreams(List.of(mUpstream, other), 0);
         limits.recordStatement(mUpstream, 0.25, 0);
         for (int id = 1; id <= 20; id++) {
@@ -186,14 +176,7 @@
     void generationsAvoidEnginesAtTheirLimits() {
         UpstreamLimits limits = Samples.limits();
         Upstream other = upstream("other", "b");
-        StreamScheduler scheduler =
-                new StreamScheduler(
-                        "service",
-                        Samples.SPEC,
-                        Samples.LOCATIONS,
-                        Samples.retries(),
-                        limits,
-                        Samples.random());
+        StreamScheduler scheduler = Samples.streamScheduler(limits);
         scheduler.replaceUpstreams(List.of(mUpstream, other), 0);
         limits.recordStatement(mUpstream, 0.0, 0);
         for (int id = 1; id <= 3; id++) {
@@ -216,15 +199,7 @@
 
         assertThat(limits.isPermitted(mUpstream, 60 * SECOND)).isFalse();
         assertThat(limits.waitNanos(mUpstream, 60 * SECOND)).isEmpty();
-        Upstream restarted =
-                new Upstream(
-                        mUpstream.id(),
-                        2,
-                        mUpstream.service(),
-                        mUpstream.address(),
-                        mUpstream.zone(),
-                        mUpstream.slots(),
-                        false);
+        Upstream restarted = Samples.restarted(mUpstream, 2);
         assertThat(limits.isPermitted(restarted, 60 * SECOND)).isTrue();
     }
 
@@ -234,7 +209,7 @@
     void callsGoToOtherUpstreamsWhenOneLeaves(int calls) {
         createInstances(1);
         UpstreamLimits limits = mInstances.getFirst();
-        CallScheduler scheduler = callScheduler(limits);
+        CallScheduler scheduler = Samples.callScheduler(limits);
         Upstream other = upstream("other", "b");
         scheduler.replaceUpstreams(List.of(mUpstream, other), 0);
         limits.recordLeaving(mUpstream, 0);
@@ -301,7 +276,7 @@
     void callsAreRefusedUntilTheShortestPauseEndsWhenAllUpstreamsPause() {
         createInstances(1);
         UpstreamLimits limits = mInstances.getFirst();
-        CallScheduler scheduler = callScheduler(limits);
+        CallScheduler scheduler = Samples.callScheduler(limits);
         Upstream other = upstream("other", "b");
         scheduler.replaceUpstreams(List.of(mUpstream, other), 0);
         limits.recordPause(mUpstream, Duration.ofSeconds(5), 0);
@@ -312,9 +287,4 @@
         assertThat(finish.ending()).isEqualTo(Ending.REFUSED);
         assertThat(finish.retryAfter()).isBetween(Duration.ofSeconds(2), Duration.ofMillis(2_100));
     }
-
-    private static CallScheduler callScheduler(UpstreamLimits limits) {
-        return new CallScheduler(
-                "service", Samples.LOCATIONS, Samples.retries(), limits, Samples.random());
-    }
 }
