End only its own life when an engine stand-in dies

A generation that kills its engine does so on a thread of its own, which ended whichever life was current then: a generation of an earlier life could end the engine after its restart, which tests then take for a fault of the system.

The new test keeps a crashing generation paused over a kill and a restart. Found while tracing EngineLossTest.

--- a/gentianwalk-standin/src/main/java/org/gentianwalk/standin/engine/EngineStandin.java
+++ b/gentianwalk-standin/src/main/java/org/gentianwalk/standin/engine/EngineStandin.java
@@ -117,6 +117,12 @@
         }
     }
 
+    private synchronized void kill(Life life) {
+        if (mLife == life) {
+            kill();
+        }
+    }
+
     /**
      * Starts a killed engine again on its old port, without faults.
      *
@@ -246,10 +252,10 @@
             (cancelled ? mEngine.mCancelled : mEngine.mFinished).incrementAndGet();
         }
 
-        /** Kills the engine from one of its own threads. */
+        /** Kills the engine from one of its own threads; a later life is not affected. */
         void die() {
             mDead = true;
-            Thread.ofVirtual().start(mEngine::kill);
+            Thread.ofVirtual().start(() -> mEngine.kill(this));
         }
     }
 }
--- a/gentianwalk-standin/src/test/java/org/gentianwalk/standin/engine/EngineStandinTest.java
+++ b/gentianwalk-standin/src/test/java/org/gentianwalk/standin/engine/EngineStandinTest.java
@@ -11,6 +11,8 @@
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.gentianwalk.core.model.Capability;
 import org.gentianwalk.standin.StandinHttp;
 import org.junit.jupiter.api.Test;
@@ -68,6 +70,32 @@
         }
     }
 
+    /** Guards against an engine that is ended again by a generation of its previous life. */
+    @Test
+    void aGenerationOfAnEarlierLifeDoesNotEndTheNextOne() throws Exception {
+        try (EngineStandin engine = EngineStandin.start(EngineOptions.of("e1", "m"), 0)) {
+            CountDownLatch started = new CountDownLatch(1);
+            engine.faults().crashOn("p");
+            engine.faults()
+                    .onStart(
+                            prompt -> {
+                                engine.faults().pause();
+                                started.countDown();
+                            });
+            CLIENT.sendAsync(
+                    completion(engine, 30, List.of()), HttpResponse.BodyHandlers.discarding());
+            assertThat(started.await(10, TimeUnit.SECONDS)).isTrue();
+            engine.faults().crashOn("no prompt");
+            engine.faults().onStart(prompt -> {});
+            engine.kill();
+            engine.restart();
+            for (int i = 0; i < 50; i++) {
+                assertThat(tokens(stream(engine, 30, List.of()))).hasSize(30);
+            }
+            assertThat(engine.isAlive()).isTrue();
+        }
+    }
+
     @Test
     void orderWithAnOldFencingNumberIsRefusedUnlessFencingIsIgnored() throws Exception {
         try (EngineStandin engine = EngineStandin.start(EngineOptions.of("e1", "m"), 0)) {
