Start whole waves of generations in EngineLossTest

The test waited for a moment at which 20 generations of 360 ms each run at once. Where the starts of a wave take longer than one generation, there is none, and the test waits in vain: with 25 ms between the starts it failed in the same way, in both cases, with 20 answers ended.

The engines now hold their output until the wave runs, so that the test does not depend on the pace of starts; with 25 ms between them it passes. The kills, the expected answers and the number of interrupted generations are unchanged. If the wait fails again, the message names what each engine has run and how many answers ended.

--- a/gentianwalk-server/src/test/java/org/gentianwalk/server/pipeline/EngineLossTest.java
+++ b/gentianwalk-server/src/test/java/org/gentianwalk/server/pipeline/EngineLossTest.java
@@ -47,12 +47,14 @@
         try (TestFleet fleet = fair ? fair(slow(3)) : roundRobin(slow(3));
                 ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
             for (int first = 0; first < GENERATIONS; first += WAVE) {
+                // A slow machine starts a wave over a longer time than its generations last.
+                fleet.engines().forEach(engine -> engine.faults().stall(true));
                 List<Future<TestCaller.Stream>> answers = new ArrayList<>();
                 for (int i = first; i < first + WAVE; i++) {
                     String body = TestFleet.body("prompt " + i, i, TOKENS, true);
                     answers.add(callers.submit(() -> fleet.caller().stream(body)));
                 }
-                EngineStandin victim = killBusiest(fleet, random.nextInt(400));
+                EngineStandin victim = killBusiest(fleet, answers, random.nextInt(400));
                 for (int i = first; i < first + WAVE; i++) {
                     TestCaller.Stream answer = answers.get(i - first).get();
                     assertThat(answer.mTokens)
@@ -212,17 +214,28 @@
         return options;
     }
 
-    private static EngineStandin killBusiest(TestFleet fleet, int tokens)
+    private static EngineStandin killBusiest(
+            TestFleet fleet, List<Future<TestCaller.Stream>> answers, int tokens)
             throws InterruptedException {
-        TestFleet.await(
-                "all generations of the wave run",
-                Duration.ofSeconds(10),
-                () -> fleet.engines().stream().mapToInt(EngineStandin::running).sum() >= WAVE);
+        try {
+            TestFleet.await(
+                    "all generations of the wave run",
+                    Duration.ofSeconds(10),
+                    () -> fleet.engines().stream().mapToInt(EngineStandin::running).sum() >= WAVE);
+        } catch (AssertionError e) {
+            List<String> engines = new ArrayList<>();
+            fleet.engines()
+                    .forEach(engine -> engines.add(engine.running() + " of " + engine.counts()));
+            long ended = answers.stream().filter(Future::isDone).count();
+            throw new AssertionError(
+                    e.getMessage() + "; engines " + engines + ", answers ended " + ended, e);
+        }
         EngineStandin victim =
                 fleet.engines().stream()
                         .max(Comparator.comparingInt(EngineStandin::running))
                         .orElseThrow();
         victim.faults().dieAfterTokens(tokens);
+        fleet.engines().forEach(engine -> engine.faults().stall(false));
         return victim;
     }
 
