Accept only IP addresses of other instances

An odd row in the table of instances whose address is a host name was looked up on the control thread, which makes all decisions and waits for the lookup. The platform has no names. Such a row now fails like any other address that can't be used.

MeshNodeTest.addressesAreNotLookedUpByName failed before (peer.invalid:80).

--- a/gentianwalk-server/src/main/java/org/gentianwalk/server/mesh/MeshPeer.java
+++ b/gentianwalk-server/src/main/java/org/gentianwalk/server/mesh/MeshPeer.java
@@ -1,5 +1,6 @@
 package org.gentianwalk.server.mesh;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import org.gentianwalk.core.membership.Member;
 
@@ -20,11 +21,12 @@
         return new MeshPeer(member.id(), member.address());
     }
 
+    // Host names are not accepted, since their lookup would block the calling thread.
     InetSocketAddress socketAddress() throws MeshException {
         int colon = address.lastIndexOf(':');
         try {
             return new InetSocketAddress(
-                    address.substring(0, Math.max(colon, 0)),
+                    InetAddress.ofLiteral(address.substring(0, Math.max(colon, 0))),
                     Integer.parseInt(address.substring(colon + 1)));
         } catch (IllegalArgumentException e) {
             throw new MeshException(
--- a/gentianwalk-server/src/test/java/org/gentianwalk/server/mesh/MeshNodeTest.java
+++ b/gentianwalk-server/src/test/java/org/gentianwalk/server/mesh/MeshNodeTest.java
@@ -137,6 +137,17 @@
     /**
      * Guards against accepting frames that are unauthenticated, replayed, malformed or oversized.
      */
+    /** The lookup of a host name in an odd entry would block the thread that sends. */
+    @Test
+    void addressesAreNotLookedUpByName() throws MeshException {
+        for (String address : List.of("peer.invalid:80", "localhost:80", ":80", "10.0.0.1:70000")) {
+            assertThatThrownBy(() -> new MeshPeer("i2", address).socketAddress())
+                    .as(address)
+                    .isInstanceOf(MeshException.class);
+        }
+        assertThat(new MeshPeer("i2", "10.0.0.1:80").socketAddress().getPort()).isEqualTo(80);
+    }
+
     @Test
     void badFramesAreCountedAndHaveNoEffect() throws Exception {
         MeshNode node = node("b", MeshOptions.DEFAULT, OLD);
