End a request to an upstream that can't be written

When the head of a request could not be built after its connection was established, the exception ended a task of the event loop, and neither the attempt nor the caller's request: the caller waited until its deadline. A query of an engine was lost in the same way, and the schedulers waited for its result.

Such a request now fails as not sent, and its connection is closed; a failed query has no result.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/EngineQueryClient.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/EngineQueryClient.java
@@ -19,10 +19,13 @@
 import org.gentianwalk.gateway.http.UpstreamSender;
 import org.gentianwalk.gateway.wire.ResponseHead;
 import org.gentianwalk.gateway.wire.WireDialect;
+import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
 /** Queries engines for their cached prompt parts and checks whether they respond. */
 public final class EngineQueryClient {
+    private static final Logger LOG = Logger.getLogger(EngineQueryClient.class);
+
     /** Timeout of a cache query; a later response would be of no use to the waiting request. */
     private static final Duration CACHE_TIMEOUT = Duration.ofMillis(200);
 
@@ -123,7 +126,13 @@
         }
 
         void start(Duration timeout) {
-            send();
+            try {
+                send();
+            } catch (RuntimeException e) {
+                // Without a result the schedulers would go on to wait for it.
+                LOG.errorf(e, "a query of upstream %s failed", mEngine.id());
+                complete(null);
+            }
             mTraffic.schedule(this::expire, timeout.toMillis(), TimeUnit.MILLISECONDS);
         }
 
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
@@ -94,12 +94,25 @@
             listener.onFailure(Failure.NOT_SENT, "the connection is closed");
             return;
         }
+        DefaultFullHttpRequest message;
+        try {
+            message = message(request);
+        } catch (RuntimeException e) {
+            // The exception would otherwise end a task of the event loop, and the request with it.
+            close();
+            listener.onFailure(Failure.NOT_SENT, String.valueOf(e));
+            return;
+        }
         mListener = listener;
         mRequest = request;
         mReused = reused;
         mReusable = true;
         mHead = null;
         mPhase = Phase.HEAD;
+        mWritten = context.writeAndFlush(message);
+    }
+
+    private static DefaultFullHttpRequest message(UpstreamRequest request) {
         DefaultFullHttpRequest message =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
@@ -111,7 +124,7 @@
         if (!bare) {
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
         }
-        mWritten = context.writeAndFlush(message);
+        return message;
     }
 
     @Override
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/PlainDialect.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/PlainDialect.java
@@ -12,7 +12,7 @@
 import org.gentianwalk.gateway.wire.WireDialect;
 
 /** A dialect for tests, so that they do not depend on any platform. */
-public final class PlainDialect implements WireDialect {
+public class PlainDialect implements WireDialect {
     @Override
     public CallerHead parseCallerHead(HttpRequest request) throws MalformedHeadException {
         HttpHeaders headers = request.headers();
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
@@ -93,6 +93,24 @@
         assertThat(mConnection.isUsable(mTicker.nanos(), request("one", false))).isFalse();
     }
 
+    /** An exception in a task of the event loop leaves the request without an end. */
+    @Test
+    void aRequestThatCannotBeWrittenFailsAsNotSent() {
+        UpstreamRequest request =
+                new UpstreamRequest(
+                        HttpMethod.GET,
+                        "/a",
+                        () -> new DefaultHttpHeaders().set("x-odd", "a\r\nb"),
+                        new byte[0],
+                        "one",
+                        false);
+
+        mConnection.send(request, mListener, false);
+
+        assertThat(mListener.mFailure).isEqualTo(Failure.NOT_SENT);
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
     @Test
     void bytesThatAreNotHttpFailTheRequest() {
         send("one", false);
--- /dev/null
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/MemoryStore.java
@@ -0,0 +1,128 @@
+package org.gentianwalk.gateway.sockets;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.gentianwalk.gateway.store.RowStore;
+
+/** A shared store in memory. Each instance gets a client of its own, which may be cut off. */
+final class MemoryStore {
+    private final Map<String, TreeMap<String, RowStore.Row>> mTables = new HashMap<>();
+    private final List<Poll> mPolls = new ArrayList<>();
+    private long mVersion;
+
+    /** A call that waits for changes. */
+    private record Poll(
+            String table, long since, Client client, CompletableFuture<RowStore.Result> result) {}
+
+    synchronized void put(String table, String key, byte[] value) {
+        write(table, new RowStore.Row(key, value, false, ++mVersion));
+    }
+
+    synchronized void remove(String table, String key) {
+        write(table, new RowStore.Row(key, new byte[0], true, ++mVersion));
+    }
+
+    synchronized List<RowStore.Row> rows(String table) {
+        return rows(table, "");
+    }
+
+    Client client() {
+        return new Client();
+    }
+
+    private void write(String table, RowStore.Row row) {
+        mTables.computeIfAbsent(table, name -> new TreeMap<>()).put(row.key(), row);
+        for (Poll poll : List.copyOf(mPolls)) {
+            if (poll.table().equals(table) && !poll.client().mSilent) {
+                mPolls.remove(poll);
+                poll.result().complete(changes(table, poll.since()));
+            }
+        }
+    }
+
+    private List<RowStore.Row> rows(String table, String fromKey) {
+        return mTables.getOrDefault(table, new TreeMap<>()).tailMap(fromKey).values().stream()
+                .filter(row -> !row.removed())
+                .toList();
+    }
+
+    private RowStore.Result changes(String table, long since) {
+        List<RowStore.Row> rows =
+                mTables.getOrDefault(table, new TreeMap<>()).values().stream()
+                        .filter(row -> row.version() > since)
+                        .toList();
+        return new RowStore.Result.Rows(rows, false, mVersion);
+    }
+
+    /** The store as one instance sees it. */
+    final class Client implements RowStore {
+        private volatile boolean mSilent;
+
+        /** Sets whether the store leaves the calls of this instance without a response. */
+        void silent(boolean silent) {
+            mSilent = silent;
+        }
+
+        @Override
+        public CompletionStage<Result> read(String table, String fromKey, Duration timeout) {
+            synchronized (MemoryStore.this) {
+                return mSilent
+                        ? expiring(timeout)
+                        : CompletableFuture.completedFuture(
+                                new Result.Rows(rows(table, fromKey), false, mVersion));
+            }
+        }
+
+        @Override
+        public CompletionStage<Result> changes(
+                String table, long since, Duration wait, Duration timeout) {
+            synchronized (MemoryStore.this) {
+                if (mSilent) {
+                    return expiring(wait.plus(timeout));
+                }
+                Result.Rows changes = (Result.Rows) MemoryStore.this.changes(table, since);
+                if (!changes.rows().isEmpty()) {
+                    return CompletableFuture.completedFuture(changes);
+                }
+                CompletableFuture<Result> result = new CompletableFuture<>();
+                mPolls.add(new Poll(table, since, this, result));
+                return result.completeOnTimeout(
+                        new Result.Rows(List.of(), false, mVersion),
+                        wait.toMillis(),
+                        TimeUnit.MILLISECONDS);
+            }
+        }
+
+        @Override
+        public CompletionStage<Result> write(
+                String table, String key, byte[] value, Duration timeout) {
+            synchronized (MemoryStore.this) {
+                if (mSilent) {
+                    return expiring(timeout);
+                }
+                if (value == null) {
+                    remove(table, key);
+                } else {
+                    put(table, key, value);
+                }
+                return CompletableFuture.completedFuture(
+                        new Result.Rows(List.of(), false, mVersion));
+            }
+        }
+
+        private CompletionStage<Result> expiring(Duration timeout) {
+            return new CompletableFuture<Result>()
+                    .completeOnTimeout(
+                            new Result.Failed("no response in time", false),
+                            timeout.toMillis(),
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+}
