Answer a request when a decision on it fails

An exception in a task of the control thread is kept by its executor and never read. A request whose offer or attempt end failed in this way kept its place in the scheduler and got no answer, or a false one at its deadline.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -70,6 +70,11 @@
 
     private static final Duration UPSTREAM_PAUSE = Duration.ofMillis(300);
 
+    /**
+     * Time after its deadline at which a request that was not ended is ended without a decision.
+     */
+    private static final long OVERDUE_NANOS = Duration.ofMillis(400).toNanos();
+
     /** Retry-after time of a request whose service is not part of the configuration. */
     private static final Duration NO_SERVICE_RETRY = Duration.ofSeconds(1);
 
@@ -198,7 +203,53 @@
 
     @Override
     public void requestArrived(Work work, Exchange exchange) {
-        mControl.execute(() -> offer(work, exchange));
+        execute(work.id(), () -> offer(work, exchange));
+    }
+
+    /**
+     * Runs a task of one request on the control thread. A failure ends the request, which would
+     * otherwise get no answer.
+     */
+    private void execute(long work, Runnable task) {
+        mControl.execute(
+                () -> {
+                    try {
+                        task.run();
+                    } catch (RuntimeException e) {
+                        LOG.errorf(e, "a decision on request %s failed", work);
+                        abandon(work, "a decision failed");
+                    }
+                });
+    }
+
+    /** Ends a request about which no decision can be made. It may have been executed. */
+    private void abandon(long work, String reason) {
+        Request request = mRequests.remove(work);
+        if (request == null) {
+            return;
+        }
+        mProgress.remove(work);
+        Decision.Finish finish =
+                new Decision.Finish(request.work(), Ending.UNKNOWN, Duration.ZERO, reason);
+        mTraffic.execute(() -> request.exchange().finish(finish));
+        try {
+            mLog.requestFinished(finish, mTicker.nanos());
+            request.scheduler().remove(work, mTicker.nanos());
+        } catch (RuntimeException e) {
+            LOG.errorf(e, "request %s was not removed", work);
+        }
+    }
+
+    /** Ends requests whose deadline has passed without a decision. */
+    private void endOverdue(long nowNanos) {
+        List<Long> overdue = new ArrayList<>();
+        mRequests.forEach(
+                (id, request) -> {
+                    if (nowNanos - request.work().deadlineNanos() > OVERDUE_NANOS) {
+                        overdue.add(id);
+                    }
+                });
+        overdue.forEach(id -> abandon(id, "deadline exceeded without a decision"));
     }
 
     @Override
@@ -206,7 +257,8 @@
         mProgress.add(work, attempt, progress);
         if (first) {
             // The first output ends the prefill and frees the engine for the next prompt.
-            mControl.execute(
+            execute(
+                    work,
                     () -> {
                         drainInput();
                         Request request = mRequests.get(work);
@@ -236,7 +288,8 @@
     @Override
     public void attemptEnded(
             long work, int attempt, AttemptEnd end, String cause, @Nullable UpstreamLoad load) {
-        mControl.execute(
+        execute(
+                work,
                 () -> {
                     Request request = mRequests.get(work);
                     if (request == null) {
@@ -255,7 +308,8 @@
     @Override
     public void responseDelivered(
             long work, int attempt, Delivery delivery, @Nullable UpstreamLoad load) {
-        mControl.execute(
+        execute(
+                work,
                 () -> {
                     Request request = mRequests.remove(work);
                     if (request == null) {
@@ -325,7 +379,8 @@
 
     @Override
     public void requestWithdrawn(long work) {
-        mControl.execute(
+        execute(
+                work,
                 () -> {
                     Request request = mRequests.remove(work);
                     if (request != null) {
@@ -360,6 +415,7 @@
             for (WorkScheduler scheduler : mSchedulers.values()) {
                 executeDecisions(scheduler);
             }
+            endOverdue(mTicker.nanos());
             advanceFleet();
         } catch (RuntimeException e) {
             LOG.error("a tick of the control thread failed", e);
