--- a/gentianwalk-server/src/test/java/org/gentianwalk/server/mesh/MeshNodeTest.java
+++ b/gentianwalk-server/src/test/java/org/gentianwalk/server/mesh/MeshNodeTest.java
@@ -134,9 +134,6 @@
         }
     }
 
-    /**
-     * Guards against accepting frames that are unauthenticated, replayed, malformed or oversized.
-     */
     /** The lookup of a host name in an odd entry would block the thread that sends. */
     @Test
     void addressesAreNotLookedUpByName() throws MeshException {
@@ -148,6 +145,9 @@
         assertThat(new MeshPeer("i2", "10.0.0.1:80").socketAddress().getPort()).isEqualTo(80);
     }
 
+    /**
+     * Guards against accepting frames that are unauthenticated, replayed, malformed or oversized.
+     */
     @Test
     void badFramesAreCountedAndHaveNoEffect() throws Exception {
         MeshNode node = node("b", MeshOptions.DEFAULT, OLD);
