Join calls to a silent store with further ones

Callers were sent to engines that had ended: after an outage in which the store does not respond, the list of upstreams was read up to 2.1 s late. A call that was sent during the silence gets no response after it either, and the next one waited for its timeout.

While a call is overdue by half a second, readers (two instances of each region) join it with a complete read of the table, at most four at a time, and announce what the first one returns to their region. Followers call as rarely as before, and a call of theirs that was sent during the silence is no new outage once a reader has announced a response.

TableWatcherTest.aReaderReadsTheTableSoonAfterASilentStoreReturns (six of nine phases of the calls) and aCallFromTheTimeOfSilenceIsNoOutageOnceReadersHaveAResponse failed before.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
@@ -29,6 +29,15 @@
     /** Interval at which an instance that relies on readers checks whether it is one itself. */
     private static final Duration ROLE_CHECK = Duration.ofMillis(300);
 
+    /**
+     * Time after which an overdue call is joined by another one. A store that was silent leaves the
+     * calls of that time without a response, also after its return.
+     */
+    private static final Duration HEDGE_DELAY = Duration.ofMillis(500);
+
+    /** Maximum number of calls at the same time. */
+    private static final int MAX_PENDING = 4;
+
     private final RowStore mStore;
     private final String mTable;
     private final TableListener mListener;
@@ -37,14 +46,18 @@
     private final Ticker mTicker;
     private final WatchTimes mTimes;
     private final TableMirror mMirror = new TableMirror();
-    private final List<Row> mReadRows = new ArrayList<>();
-    private long mReadVersion;
     private Duration mBackoff = INITIAL_BACKOFF;
     private @Nullable Long mReaderHeardAt;
     private @Nullable ScheduledFuture<?> mNextPoll;
     private boolean mUnreachable;
     private boolean mStopped;
 
+    /** Number of the current round of calls; the results of earlier rounds are ignored. */
+    private int mRound;
+
+    /** Calls of the current round without a result. */
+    private int mPending;
+
     /**
      * Creates a watcher that has not started.
      *
@@ -152,6 +165,9 @@
             ScheduledFuture<?> nextPoll = mNextPoll;
             if (nextPoll != null && nextPoll.cancel(false)) {
                 poll();
+            } else if (changes.available() && mUnreachable) {
+                // The pending call may have been sent while the store was silent.
+                joinPending();
             }
             return;
         }
@@ -180,40 +196,79 @@
         if (mStopped) {
             return;
         }
-        mReadRows.clear();
-        readFrom("");
+        startRound();
+        new CompleteRead(mRound).readFrom("");
+        scheduleHedge(HEDGE_DELAY);
     }
 
-    private void readFrom(String key) {
-        mStore.read(mTable, key, mTimes.timeout()).thenAcceptAsync(this::pageRead, mControl);
+    private void startRound() {
+        mRound++;
+        mPending = 1;
     }
 
-    private void pageRead(Result result) {
-        if (mStopped) {
-            return;
+    /** Joins a call that is overdue with a complete read; only readers do, for all others. */
+    private void scheduleHedge(Duration delay) {
+        int round = mRound;
+        mControl.schedule(
+                () -> {
+                    if (!mStopped && round == mRound && mFeed.isReader()) {
+                        joinPending();
+                        scheduleHedge(HEDGE_DELAY);
+                    }
+                },
+                delay.toMillis(),
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void joinPending() {
+        if (mPending > 0 && mPending < MAX_PENDING) {
+            mPending++;
+            new CompleteRead(mRound).readFrom("");
         }
-        switch (result) {
-            case Result.Rows rows -> {
-                if (mReadRows.isEmpty()) {
-                    // Changes between the reads of two pages may be missing from the first one.
-                    mReadVersion = rows.version();
-                }
-                mReadRows.addAll(rows.rows());
-                if (rows.more() && !rows.rows().isEmpty()) {
-                    // The smallest key after the last one, in byte order.
-                    readFrom(rows.rows().getLast().key() + "\0");
-                    return;
-                }
-                long from = mMirror.version();
-                List<Row> changed = mMirror.applySnapshot(mReadRows, mReadVersion);
-                mReadRows.clear();
-                markReachable();
-                pass(() -> mListener.replaced(mMirror.rows()));
-                mFeed.reportRead(mTable, from, mReadVersion, changed);
-                poll();
+    }
+
+    /** A read of the complete table, in pages. */
+    private final class CompleteRead {
+        private final int mReadRound;
+        private final List<Row> mRows = new ArrayList<>();
+        private long mVersion;
+
+        CompleteRead(int round) {
+            mReadRound = round;
+        }
+
+        void readFrom(String key) {
+            mStore.read(mTable, key, mTimes.timeout()).thenAcceptAsync(this::pageRead, mControl);
+        }
+
+        private void pageRead(Result result) {
+            if (mStopped || mReadRound != mRound) {
+                return;
             }
-            case Result.HistoryLost lost -> callFailed("the store no longer holds the changes");
-            case Result.Failed failed -> callFailed(failed.reason());
+            switch (result) {
+                case Result.Rows rows -> pageRead(rows);
+                case Result.HistoryLost lost -> callFailed("the store no longer holds the changes");
+                case Result.Failed failed -> callFailed(failed.reason());
+            }
+        }
+
+        private void pageRead(Result.Rows rows) {
+            if (mRows.isEmpty()) {
+                // Changes between the reads of two pages may be missing from the first one.
+                mVersion = rows.version();
+            }
+            mRows.addAll(rows.rows());
+            if (rows.more() && !rows.rows().isEmpty()) {
+                // The smallest key after the last one, in byte order.
+                readFrom(rows.rows().getLast().key() + "\0");
+                return;
+            }
+            long from = mMirror.version();
+            List<Row> changed = mMirror.applySnapshot(mRows, mVersion);
+            endRound();
+            pass(() -> mListener.replaced(mMirror.rows()));
+            mFeed.reportRead(mTable, from, mVersion, changed);
+            poll();
         }
     }
 
@@ -231,18 +286,21 @@
             return;
         }
         long since = mMirror.version();
+        startRound();
+        int round = mRound;
         mStore.changes(mTable, since, mTimes.longPoll(), mTimes.timeout())
-                .thenAcceptAsync(result -> changesRead(since, result), mControl);
+                .thenAcceptAsync(result -> changesRead(round, since, result), mControl);
+        scheduleHedge(mTimes.longPoll().plus(HEDGE_DELAY));
     }
 
-    private void changesRead(long since, Result result) {
-        if (mStopped) {
+    private void changesRead(int round, long since, Result result) {
+        if (mStopped || round != mRound) {
             return;
         }
         switch (result) {
             case Result.Rows rows -> {
                 List<Row> changed = mMirror.applyChanges(rows.rows(), rows.version());
-                markReachable();
+                endRound();
                 pass(() -> mListener.changed(changed));
                 mFeed.reportRead(mTable, since, rows.version(), rows.rows());
                 Duration pause = rows.rows().isEmpty() ? Duration.ZERO : mTimes.pause();
@@ -262,18 +320,36 @@
         }
     }
 
+    /** Ends a round after a response; the results of its other calls are ignored. */
+    private void endRound() {
+        mRound++;
+        mPending = 0;
+        markReachable();
+    }
+
     private void markReachable() {
         mUnreachable = false;
         mBackoff = INITIAL_BACKOFF;
     }
 
     private void callFailed(String reason) {
+        mPending--;
+        if (isFedByReader()) {
+            // The call may have been sent while the store was silent; readers have a response.
+            if (mPending == 0) {
+                poll();
+            }
+            return;
+        }
         if (!mUnreachable) {
             mUnreachable = true;
             mListener.unavailable(reason);
             mFeed.reportUnreachable(mTable);
         }
         mFeed.pull(mTable).thenAcceptAsync(this::applyPulled, mControl);
+        if (mPending > 0) {
+            return;
+        }
         mControl.schedule(this::retry, mBackoff.toMillis(), TimeUnit.MILLISECONDS);
         Duration doubled = mBackoff.multipliedBy(2);
         mBackoff = doubled.compareTo(MAX_BACKOFF) > 0 ? MAX_BACKOFF : doubled;
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherTest.java
@@ -10,6 +10,7 @@
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 import org.gentianwalk.gateway.ManualExecutor;
 import org.gentianwalk.gateway.store.RowStore.Result;
 import org.gentianwalk.gateway.store.RowStore.Row;
@@ -336,6 +337,131 @@
         assertThat(mEvents).containsExactly("all [a]", "changed [odd]", "changed [b]");
     }
 
+    /**
+     * Calls that were sent while the store was silent get no response after its return either. A
+     * reader that waits for their timeout leaves its region with an old list.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 300, 700, 1_100, 1_500, 1_900, 2_300, 2_700, 3_100})
+    void aReaderReadsTheTableSoonAfterASilentStoreReturns(int silentMillis) {
+        ManualExecutor control = new ManualExecutor();
+        SilentStore store = new SilentStore(control);
+        TableWatcher reader = watcher(store, control);
+        reader.start();
+        control.advance(Duration.ofSeconds(4));
+        store.mSilentSince = control.nanos();
+        control.advance(Duration.ofMillis(5_000 + silentMillis));
+        store.mSilentSince = Long.MAX_VALUE;
+        int calls = store.mCalls;
+        int answers = store.mAnswers;
+
+        control.advance(Duration.ofMillis(600));
+
+        assertThat(store.mAnswers).as("responses within 0.6 s").isGreaterThan(answers);
+        assertThat(store.mCalls - calls).as("calls").isLessThanOrEqualTo(4);
+        control.advance(Duration.ofSeconds(6));
+        assertThat(store.mOpen).as("polls at the same time").isEqualTo(1);
+    }
+
+    /** Every call is billed, and a wide fleet would reach the limit of the store. */
+    @Test
+    void followersDoNotReadMoreOftenWhileTheStoreIsSilent() {
+        ManualExecutor control = new ManualExecutor();
+        SilentStore store = new SilentStore(control);
+        store.mSilentSince = 0;
+        mFeed.mReader = false;
+        watcher(store, control).start();
+        control.advance(Duration.ofSeconds(21));
+
+        assertThat(store.mCalls).isLessThanOrEqualTo(12);
+    }
+
+    /** Its entries would be kept for longer than the upstreams exist. */
+    @Test
+    void aCallFromTheTimeOfSilenceIsNoOutageOnceReadersHaveAResponse() {
+        mFeed.mReader = false;
+        answer(new Result.Rows(List.of(row("a")), false, 5));
+        answer(new Result.Failed("no response in time", false));
+        mControl.advance(Duration.ofMillis(150));
+        mWatcher.applyPeerChanges(changes(5, 7, row("b")));
+        answer(new Result.Failed("no response in time", false));
+
+        assertThat(mEvents).containsExactly("all [a]", "lost no response in time", "changed [b]");
+        mControl.advance(Duration.ofMillis(1_600));
+        assertThat(mStore.mOpen).as("the watch goes on").hasSize(1);
+    }
+
+    private TableWatcher watcher(RowStore store, ManualExecutor control) {
+        return new TableWatcher(
+                store,
+                "table",
+                new IgnoringListener(),
+                mFeed,
+                control,
+                control::nanos,
+                TableWatcher.WatchTimes.within(
+                        Duration.ofMillis(2_500),
+                        Duration.ofMillis(1_500),
+                        Duration.ofMillis(100)));
+    }
+
+    /** A store that leaves calls without a response while it is silent. */
+    private static final class SilentStore implements RowStore {
+        private final ManualExecutor mControl;
+        private long mSilentSince = Long.MAX_VALUE;
+        private int mCalls;
+        private int mAnswers;
+        private int mOpen;
+
+        SilentStore(ManualExecutor control) {
+            mControl = control;
+        }
+
+        @Override
+        public CompletionStage<Result> read(String table, String fromKey, Duration timeout) {
+            return call(Duration.ofMillis(5), timeout);
+        }
+
+        @Override
+        public CompletionStage<Result> changes(
+                String table, long since, Duration wait, Duration timeout) {
+            return call(wait, wait.plus(timeout));
+        }
+
+        @Override
+        public CompletionStage<Result> write(
+                String table, String key, byte[] value, Duration timeout) {
+            return call(Duration.ofMillis(5), timeout);
+        }
+
+        private CompletionStage<Result> call(Duration wait, Duration timeout) {
+            mCalls++;
+            mOpen++;
+            boolean lost = mSilentSince != Long.MAX_VALUE;
+            CompletableFuture<Result> result = new CompletableFuture<>();
+            mControl.schedule(
+                    () -> {
+                        if (!lost && mSilentSince == Long.MAX_VALUE && !result.isDone()) {
+                            mAnswers++;
+                            mOpen--;
+                            result.complete(new Result.Rows(List.of(), false, 5));
+                        }
+                    },
+                    wait.toMillis(),
+                    TimeUnit.MILLISECONDS);
+            mControl.schedule(
+                    () -> {
+                        if (!result.isDone()) {
+                            mOpen--;
+                            result.complete(new Result.Failed("no response in time", false));
+                        }
+                    },
+                    timeout.toMillis(),
+                    TimeUnit.MILLISECONDS);
+            return result;
+        }
+    }
+
     private void answer(Result result) {
         mStore.mOpen.remove().complete(result);
         mControl.runAll();
