Keep evidence on crashing requests in the store

The class of fault is a decision that all instances share, kept only by processes that may end together.

Each instance now writes one row with what it has observed itself (table gentianwalk-evidence), so that writers do not compete: convictions at once, other losses once they are three seconds old, not explained by output or by the failure of a zone, at most every two seconds, only when the evidence has changed, at most 48 KB. At its start an instance reads all rows before it puts a configuration in force; when the store is away, it serves without them and goes on to try. Ages are relative to the time of day. A conviction now ends an hour after its last loss wherever it is known, instead of an hour after each instance reached it; so restarts do not prolong it. A row whose evidence is gone is removed.

Weighed: one row for the whole service (competing writers, and a condition for each write); a row for each suspect (as many calls as requests in prefill when a zone fails).

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallEvidence.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallEvidence.java
@@ -49,6 +49,15 @@
         return mSuspects.entries(REPORT_NANOS, MAX_REPORTED, nowNanos);
     }
 
+    /** Returns the evidence that this instance has to keep beyond its life. */
+    List<SuspectEntry> toKeep(long nowNanos) {
+        return mLosses.toKeep(nowNanos);
+    }
+
+    void restore(List<SuspectEntry> entries, boolean own, long nowNanos) {
+        mSuspects.restore(entries, own, nowNanos);
+    }
+
     void merge(List<SuspectEntry> entries, long nowNanos) {
         mSuspects.merge(entries, nowNanos);
     }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -13,6 +13,7 @@
 import java.util.random.RandomGenerator;
 import org.gentianwalk.core.dispatch.Decision.Ending;
 import org.gentianwalk.core.model.Location.Distance;
+import org.gentianwalk.core.policy.suspect.SuspectEntry;
 import org.gentianwalk.core.policy.suspect.SuspectTable.Verdict;
 import org.jspecify.annotations.Nullable;
 
@@ -22,7 +23,7 @@
  * between instances. A call whose content crashes upstreams is not repeated and finally refused, at
  * all instances.
  */
-public final class CallScheduler implements WorkScheduler, PeerLoadAware {
+public final class CallScheduler implements WorkScheduler, PeerLoadAware, EvidenceAware {
     /** Maximum number of attempts for a call that no upstream has executed. */
     private static final int MAX_UNEXECUTED_ATTEMPTS = 4;
 
@@ -210,6 +211,16 @@
         // Evidence remains valid when the instance that observed it has ended.
     }
 
+    @Override
+    public List<SuspectEntry> evidenceToKeep(long nowNanos) {
+        return mEvidence.toKeep(nowNanos);
+    }
+
+    @Override
+    public void restoreEvidence(List<SuspectEntry> entries, boolean own, long nowNanos) {
+        mEvidence.restore(entries, own, nowNanos);
+    }
+
     private void handleNotExecuted(Call call, AttemptEnd end, long nowNanos) {
         call.mUnexecutedAttempts++;
         boolean retry = call.mUnexecutedAttempts < MAX_UNEXECUTED_ATTEMPTS;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import org.gentianwalk.core.model.Fingerprint;
+import org.gentianwalk.core.policy.suspect.SuspectEntry;
 import org.gentianwalk.core.policy.suspect.SuspectTable;
 import org.gentianwalk.core.policy.suspect.SuspectTable.Verdict;
 
@@ -27,6 +28,9 @@
      */
     private static final long REPORT_DELAY_NANOS = Duration.ofMillis(250).toNanos();
 
+    /** Maximum number of suspects that an instance keeps for each service. */
+    private static final int MAX_KEPT = 32;
+
     private final SuspectTable mSuspects;
     private final List<Loss<P>> mUnconfirmed = new ArrayList<>();
 
@@ -126,6 +130,12 @@
         return confirm(loss -> loss.process().hasEnded());
     }
 
+    /** Returns the evidence that this instance has to keep beyond its life. */
+    List<SuspectEntry> toKeep(long nowNanos) {
+        mSuspects.expire(nowNanos);
+        return mSuspects.entriesToKeep(MAX_KEPT, nowNanos);
+    }
+
     Verdict verdict(SuspectSubject subject, long nowNanos) {
         return subject.isKnown()
                 ? mSuspects.verdict(subject.request(), subject.parts(), nowNanos)
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -11,6 +11,7 @@
 import java.util.random.RandomGenerator;
 import org.gentianwalk.core.dispatch.Decision.Ending;
 import org.gentianwalk.core.policy.PolicyOptions;
+import org.gentianwalk.core.policy.suspect.SuspectEntry;
 import org.gentianwalk.core.policy.suspect.SuspectTable;
 import org.gentianwalk.core.policy.suspect.SuspectTable.Verdict;
 import org.gentianwalk.core.route.EngineSpec;
@@ -26,7 +27,12 @@
  * its engine is lost.
  */
 public final class StreamScheduler
-        implements WorkScheduler, PeerLoadAware, CacheAware, InputAware, LivenessAware {
+        implements WorkScheduler,
+                PeerLoadAware,
+                CacheAware,
+                InputAware,
+                LivenessAware,
+                EvidenceAware {
     /** Retry-after when no engine is usable or no retry is allowed. */
     private static final Duration NO_ENGINE_RETRY = Duration.ofMillis(500);
 
@@ -369,6 +375,16 @@
         mRetries.retainPeers(peers.peers());
     }
 
+    @Override
+    public List<SuspectEntry> evidenceToKeep(long nowNanos) {
+        return mEvidence.toKeep(nowNanos);
+    }
+
+    @Override
+    public void restoreEvidence(List<SuspectEntry> entries, boolean own, long nowNanos) {
+        mSuspects.restore(entries, own, nowNanos);
+    }
+
     /** Ends all attempts at an engine process that is known to have ended. */
     private void endAttempts(EngineState engine, long nowNanos) {
         for (StreamRun run : List.copyOf(mRuns.values())) {
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/Suspect.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/Suspect.java
@@ -22,7 +22,7 @@
     private final boolean mPart;
     private final List<Loss> mLosses = new ArrayList<>(2);
     private @Nullable Long mClearedAt;
-    private @Nullable Long mConvictedAt;
+    private boolean mConvicted;
     private long mChangedAt;
     private @Nullable Long mObservedAt;
 
@@ -81,21 +81,22 @@
         mObservedAt = nowNanos;
     }
 
+    /** Returns whether this instance has observed any of the evidence itself. */
+    boolean isObserved() {
+        return mObservedAt != null;
+    }
+
     boolean isObservedSince(long nanos) {
         return mObservedAt != null && mObservedAt - nanos >= 0;
     }
 
     boolean isConvicted() {
-        return mConvictedAt != null;
+        return mConvicted;
     }
 
-    @Nullable Long convictedAt() {
-        return mConvictedAt;
-    }
-
-    void convict(long nowNanos) {
-        mConvictedAt = nowNanos;
-        mChangedAt = nowNanos;
+    /** Convicts the suspect. The conviction is as old as the last loss, at all instances. */
+    void convict() {
+        mConvicted = true;
     }
 
     /** Adds a loss and returns whether the evidence has changed. */
@@ -119,7 +120,7 @@
         }
         mClearedAt = atNanos;
         mLosses.removeIf(loss -> loss.atNanos() - atNanos <= 0);
-        mConvictedAt = null;
+        mConvicted = false;
         recordChange(atNanos);
         return true;
     }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/SuspectTable.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/SuspectTable.java
@@ -41,6 +41,13 @@
     /** Losses of a part within this time are one event, such as the failure of a zone. */
     private static final long EVENT_NANOS = 500_000_000L;
 
+    /**
+     * Time for which a loss must not have been explained, by output of the request or a failure of
+     * the zone, before it is worth keeping beyond the life of this instance. Most losses are
+     * explained within the time of a prefill.
+     */
+    private static final long KEPT_AFTER_NANOS = 3_000_000_000L;
+
     /** Successes remembered, for losses that other instances report late. */
     private static final int MAX_SUCCESSES = 4_096;
 
@@ -228,7 +235,7 @@
             return Verdict.PENDING;
         }
         if (!suspect.isConvicted()) {
-            suspect.convict(nowNanos);
+            suspect.convict();
             mChanged.put(part, suspect);
         }
         return Verdict.CONVICTED;
@@ -315,6 +322,54 @@
                 .toList();
     }
 
+    /**
+     * Returns the evidence that should outlive the instances: what this instance has observed
+     * itself, including what it had observed before its restart. The evidence of other instances is
+     * theirs to keep. Losses that belong to the failure of a zone are dropped.
+     *
+     * @param maxEntries maximum number of entries, newest first
+     * @param nowNanos current time
+     * @return the entries; usually none
+     */
+    public List<SuspectEntry> entriesToKeep(int maxEntries, long nowNanos) {
+        List<Suspect> selected = new ArrayList<>();
+        for (Suspect suspect : mSuspects.values()) {
+            boolean settled =
+                    suspect.isConvicted() || nowNanos - suspect.changedAt() >= KEPT_AFTER_NANOS;
+            if (!settled || !suspect.isObserved()) {
+                continue;
+            }
+            if (!suspect.isConvicted()) {
+                suspect.losses().removeIf(this::isZoneFailure);
+            }
+            if (!suspect.losses().isEmpty()) {
+                selected.add(suspect);
+            }
+        }
+        selected.sort((a, b) -> Long.compare(b.changedAt() - a.changedAt(), 0));
+        return selected.stream()
+                .limit(maxEntries)
+                .map(suspect -> entry(suspect, nowNanos))
+                .toList();
+    }
+
+    /**
+     * Restores evidence that was kept.
+     *
+     * @param entries the entries, as of now
+     * @param own true for what this instance had observed before its restart
+     * @param nowNanos current time
+     */
+    public void restore(List<SuspectEntry> entries, boolean own, long nowNanos) {
+        merge(entries, nowNanos);
+        for (SuspectEntry entry : entries) {
+            Suspect suspect = mSuspects.get(entry.fingerprint());
+            if (own && suspect != null) {
+                suspect.recordObservation(nowNanos - entry.ageMs() * NANOS_PER_MILLI);
+            }
+        }
+    }
+
     private static SuspectEntry entry(Suspect suspect, long nowNanos) {
         List<SuspectEntry.LossEntry> losses = new ArrayList<>();
         for (Suspect.Loss loss : suspect.losses()) {
@@ -380,7 +435,7 @@
         if (request.isConvicted()) {
             return;
         }
-        request.losses().removeIf(loss -> mZones.isZoneFailure(zoneOf(loss), loss.atNanos()));
+        request.losses().removeIf(this::isZoneFailure);
         int counted = 0;
         for (Suspect.Loss loss : request.losses()) {
             if (nowNanos - loss.atNanos() >= ZoneLosses.WINDOW_NANOS) {
@@ -388,21 +443,29 @@
             }
         }
         if (counted >= CONVICTING_LOSSES) {
-            request.convict(nowNanos);
+            request.convict();
             mChanged.put(request.fingerprint(), request);
         }
     }
 
-    private String zoneOf(Suspect.Loss loss) {
-        return mZoneOfEngine.getOrDefault(loss.engine(), "");
+    private boolean isZoneFailure(Suspect.Loss loss) {
+        String zone = mZoneOfEngine.getOrDefault(loss.engine(), "");
+        return mZones.isZoneFailure(zone, loss.atNanos());
     }
 
     private boolean isExpired(Suspect suspect, long nowNanos) {
-        Long convicted = suspect.convictedAt();
-        if (convicted != null) {
-            return nowNanos - convicted > mOptions.convictionLifetime().toNanos();
-        }
-        return nowNanos - suspect.changedAt() > mOptions.suspectLifetime().toNanos();
+        boolean lasting = suspect.isConvicted() || suffices(suspect);
+        return nowNanos - suspect.changedAt()
+                > (lasting ? mOptions.convictionLifetime() : mOptions.suspectLifetime()).toNanos();
+    }
+
+    /** Returns whether the losses convict a suspect, so that it expires like a conviction. */
+    private boolean suffices(Suspect suspect) {
+        return suspect.isPart()
+                ? suspect.countRequests() >= CONVICTING_REQUESTS
+                        && suspect.countEvents(EVENT_NANOS, suspect.changedAt())
+                                >= mConvictingPartLosses
+                : suspect.losses().size() >= CONVICTING_LOSSES;
     }
 
     private void enforceBound() {
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingPartTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingPartTest.java
@@ -13,6 +13,7 @@
 import java.util.Random;
 import java.util.TreeMap;
 import org.gentianwalk.core.dispatch.Decision.Ending;
+import org.gentianwalk.core.policy.suspect.SuspectEntry;
 import org.gentianwalk.core.route.RequestKind;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -57,19 +58,22 @@
             }
         }
         for (int i = 0; i < INSTANCES; i++) {
-            StreamScheduler instance =
-                    new StreamScheduler(
-                            "service",
-                            Samples.SPEC,
-                            Samples.LOCATIONS,
-                            Samples.retries(),
-                            Samples.limits(),
-                            new Random(seed + i));
+            StreamScheduler instance = instance(seed + i);
             instance.replaceUpstreams(mEngines.values(), 0);
             mInstances.add(instance);
         }
     }
 
+    private static StreamScheduler instance(long seed) {
+        return new StreamScheduler(
+                "service",
+                Samples.SPEC,
+                Samples.LOCATIONS,
+                Samples.retries(),
+                Samples.limits(),
+                new Random(seed));
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void requestsWithACrashingPartSoonReachNoEngine(long seed) {
@@ -114,6 +118,65 @@
         assertThat(lateStarts()).isLessThanOrEqualTo(MAX_LATE_ATTEMPTS);
     }
 
+    /**
+     * The evidence of an instance ends with its process. What all of them knew has to be learned
+     * again after a restart of all at once, at the cost of further engines, unless it was kept.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void aCrashingPartIsStillKnownAfterRestartsOfAllInstances(long seed) {
+        createFleet(seed);
+        Random random = new Random(seed);
+        Map<Integer, Kept> kept = new HashMap<>();
+        long restarted = 0;
+        for (long now = 0; now < 70 * SECOND; now += STEP) {
+            if (now - restarted >= 14 * SECOND) {
+                restarted = now;
+                restartInstances(seed + now, kept, now);
+            }
+            if (random.nextInt(10) == 0) {
+                offer(random, List.of(random.nextLong(1, 6)), now);
+            }
+            if (now > 3 * SECOND && random.nextInt(100) == 0) {
+                offer(random, List.of(CRASHING, random.nextLong(1, 3)), now);
+            }
+            advance(now);
+            if (now % (2 * SECOND) == 0) {
+                for (int i = 0; i < INSTANCES; i++) {
+                    kept.put(i, new Kept(mInstances.get(i).evidenceToKeep(now), now));
+                }
+            }
+            if (restarted > 0 && now - restarted < SETTLING_TIME) {
+                // Instances that were started a short time ago are not held to the bound.
+                long from = restarted;
+                mCrashingStarts.removeIf(at -> at >= from);
+            }
+        }
+
+        assertThat(mLosses).hasSizeGreaterThanOrEqualTo(3);
+        assertThat(lateStarts()).isLessThanOrEqualTo(MAX_LATE_ATTEMPTS);
+    }
+
+    /** Evidence that an instance has kept, and when. */
+    private record Kept(List<SuspectEntry> entries, long atNanos) {}
+
+    private void restartInstances(long seed, Map<Integer, Kept> kept, long now) {
+        mRunning.clear();
+        for (int i = 0; i < INSTANCES; i++) {
+            StreamScheduler instance = instance(seed + i);
+            instance.replaceUpstreams(mEngines.values(), now);
+            for (Map.Entry<Integer, Kept> other : kept.entrySet()) {
+                int age = (int) ((now - other.getValue().atNanos()) / MS);
+                List<SuspectEntry> entries =
+                        other.getValue().entries().stream()
+                                .map(entry -> entry.agedBy(age))
+                                .toList();
+                instance.restoreEvidence(entries, other.getKey() == i, now);
+            }
+            mInstances.set(i, instance);
+        }
+    }
+
     /** A connection may be closed by an engine that lives; requests with such losses are sound. */
     @Test
     void closedConnectionsOfALiveEngineAreNoEvidence() {
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/policy/suspect/SuspectTableTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/policy/suspect/SuspectTableTest.java
@@ -30,6 +30,47 @@
         assertThat(table.verdict(HARMLESS, 11 * SECOND)).isEqualTo(Verdict.SUSPECT);
     }
 
+    /** Guards against evidence that is lost with all instances, or kept without need. */
+    @Test
+    void onlyUnexplainedLossesOfItsOwnAreKept() {
+        SuspectTable table = table();
+        table.recordLoss(CRASHING, "e0", 10 * SECOND);
+        assertThat(table.entriesToKeep(9, 11 * SECOND)).as("may still be explained").isEmpty();
+        assertThat(table.entriesToKeep(9, 14 * SECOND)).hasSize(1);
+
+        SuspectTable other = table();
+        other.merge(table.entries(10 * SECOND, 9, 14 * SECOND), 14 * SECOND);
+        assertThat(other.entriesToKeep(9, 20 * SECOND)).as("kept by the observer").isEmpty();
+
+        table.clear(CRASHING, 15 * SECOND);
+        assertThat(table.entriesToKeep(9, 20 * SECOND)).isEmpty();
+
+        table.recordLoss(CRASHING, "e0", 30 * SECOND);
+        table.recordLoss(HARMLESS, "e1", 30 * SECOND);
+        table.recordLoss(HARMLESS, "e2", 30 * SECOND);
+        assertThat(table.entriesToKeep(9, 40 * SECOND)).as("a failed zone").isEmpty();
+    }
+
+    /** Guards against a conviction that ends with a restart, or is prolonged by each one. */
+    @Test
+    void aRestoredConvictionHoldsAndEndsAtItsTime() {
+        long lost = 10 * SECOND;
+        SuspectTable table = table();
+        table.recordLoss(CRASHING, "e0", lost);
+        table.recordLoss(CRASHING, "e1", lost + 5 * SECOND);
+        for (int restart = 1; restart <= 5; restart++) {
+            long now = lost + restart * 600 * SECOND;
+            SuspectTable restarted = table();
+            restarted.restore(table.entriesToKeep(9, now), true, now);
+            assertThat(restarted.verdict(CRASHING, now)).isEqualTo(Verdict.CONVICTED);
+            table = restarted;
+        }
+        assertThat(table.verdict(CRASHING, lost + 3_599 * SECOND)).isEqualTo(Verdict.CONVICTED);
+        assertThat(table.verdict(CRASHING, lost + 3_606 * SECOND)).isEqualTo(Verdict.UNKNOWN);
+        table.expire(lost + 3_606 * SECOND);
+        assertThat(table.entriesToKeep(9, lost + 3_606 * SECOND)).isEmpty();
+    }
+
     /** Guards against attributing the failure of a zone to requests. */
     @Test
     void zoneFailureConvictsNoRequest() {
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -97,6 +97,8 @@
     private final List<TableWatcher> mWatchers = new ArrayList<>();
     private PeerView mPeers = PeerView.ALONE;
     private @Nullable FleetLink mFleet;
+    private @Nullable EvidenceKeeper mEvidence;
+    private @Nullable RouteTable mHeldBack;
     private @Nullable Long mStopsAt;
     private volatile @Nullable RouteTable mTable;
 
@@ -151,6 +153,17 @@
         fleet.setWatchers(mWatchers);
         fleet.start(mSettings.mesh().address());
         mFleet = fleet;
+        EvidenceKeeper evidence =
+                new EvidenceKeeper(
+                        mSettings.name(),
+                        store,
+                        mControl,
+                        mTicker,
+                        System::currentTimeMillis,
+                        mSchedulers,
+                        mLog);
+        mEvidence = evidence;
+        mControl.execute(() -> evidence.read(this::applyHeldBack));
         mControl.execute(() -> mWatchers.forEach(TableWatcher::start));
         mControl.schedule(this::tick, TICK.toMillis(), TimeUnit.MILLISECONDS);
     }
@@ -416,6 +429,10 @@
                 executeDecisions(scheduler);
             }
             endOverdue(mTicker.nanos());
+            EvidenceKeeper evidence = mEvidence;
+            if (evidence != null) {
+                evidence.advance();
+            }
             advanceFleet();
         } catch (RuntimeException e) {
             LOG.error("a tick of the control thread failed", e);
@@ -573,6 +590,13 @@
         if (current != null && current.version() >= table.version()) {
             return;
         }
+        EvidenceKeeper evidence = mEvidence;
+        if (evidence != null && !evidence.hasAsked()) {
+            // No request is accepted before it is known which ones crash upstreams.
+            RouteTable heldBack = mHeldBack;
+            mHeldBack = heldBack == null || heldBack.version() < table.version() ? table : heldBack;
+            return;
+        }
         for (ServiceSpec service : table.services()) {
             mSchedulers.computeIfAbsent(service.name(), name -> createScheduler(service));
         }
@@ -584,6 +608,14 @@
                 "store");
     }
 
+    private void applyHeldBack() {
+        RouteTable table = mHeldBack;
+        mHeldBack = null;
+        if (table != null) {
+            applyConfiguration(table);
+        }
+    }
+
     private long configVersion() {
         RouteTable table = mTable;
         return table == null ? 0 : table.version();
@@ -611,6 +643,10 @@
         if (mStopsAt != null) {
             scheduler.stopAt(mStopsAt);
         }
+        EvidenceKeeper evidence = mEvidence;
+        if (evidence != null) {
+            evidence.restore(service.name(), scheduler);
+        }
         return scheduler;
     }
 
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
@@ -225,6 +225,18 @@
                         .with("state", upstream.draining() ? "draining" : "ready"));
     }
 
+    /**
+     * Logs that evidence on requests that crash upstreams was read from the store.
+     *
+     * @param instances number of instances that had kept it
+     * @param suspects number of suspects
+     */
+    public void evidenceRestored(int instances, int suspects) {
+        LOG.infov(
+                "evidence restored",
+                new Fields().with("kept_by", instances).with("suspects", suspects));
+    }
+
     /**
      * Logs that an entry was removed from the list of upstreams.
      *
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/MemoryStore.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/MemoryStore.java
@@ -1,4 +1,4 @@
-package org.gentianwalk.gateway.sockets;
+package org.gentianwalk.gateway;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -12,7 +12,7 @@
 import org.gentianwalk.gateway.store.RowStore;
 
 /** A shared store in memory. Each instance gets a client of its own, which may be cut off. */
-final class MemoryStore {
+public final class MemoryStore {
     private final Map<String, TreeMap<String, RowStore.Row>> mTables = new HashMap<>();
     private final List<Poll> mPolls = new ArrayList<>();
     private long mVersion;
@@ -21,19 +21,19 @@
     private record Poll(
             String table, long since, Client client, CompletableFuture<RowStore.Result> result) {}
 
-    synchronized void put(String table, String key, byte[] value) {
+    public synchronized void put(String table, String key, byte[] value) {
         write(table, new RowStore.Row(key, value, false, ++mVersion));
     }
 
-    synchronized void remove(String table, String key) {
+    public synchronized void remove(String table, String key) {
         write(table, new RowStore.Row(key, new byte[0], true, ++mVersion));
     }
 
-    synchronized List<RowStore.Row> rows(String table) {
+    public synchronized List<RowStore.Row> rows(String table) {
         return rows(table, "");
     }
 
-    Client client() {
+    public Client client() {
         return new Client();
     }
 
@@ -62,17 +62,32 @@
     }
 
     /** The store as one instance sees it. */
-    final class Client implements RowStore {
+    public final class Client implements RowStore {
         private volatile boolean mSilent;
+        private volatile boolean mRejecting;
+        private volatile int mWrites;
 
         /** Sets whether the store leaves the calls of this instance without a response. */
-        void silent(boolean silent) {
+        public void silent(boolean silent) {
             mSilent = silent;
         }
 
+        /** Sets whether the store rejects the calls of this instance. */
+        public void rejecting(boolean rejecting) {
+            mRejecting = rejecting;
+        }
+
+        /** Returns the number of writes that were tried. */
+        public int writes() {
+            return mWrites;
+        }
+
         @Override
         public CompletionStage<Result> read(String table, String fromKey, Duration timeout) {
             synchronized (MemoryStore.this) {
+                if (mRejecting) {
+                    return rejected();
+                }
                 return mSilent
                         ? expiring(timeout)
                         : CompletableFuture.completedFuture(
@@ -84,6 +99,9 @@
         public CompletionStage<Result> changes(
                 String table, long since, Duration wait, Duration timeout) {
             synchronized (MemoryStore.this) {
+                if (mRejecting) {
+                    return rejected();
+                }
                 if (mSilent) {
                     return expiring(wait.plus(timeout));
                 }
@@ -104,6 +122,10 @@
         public CompletionStage<Result> write(
                 String table, String key, byte[] value, Duration timeout) {
             synchronized (MemoryStore.this) {
+                mWrites++;
+                if (mRejecting) {
+                    return rejected();
+                }
                 if (mSilent) {
                     return expiring(timeout);
                 }
@@ -117,6 +139,10 @@
             }
         }
 
+        private CompletionStage<Result> rejected() {
+            return CompletableFuture.completedFuture(new Result.Failed("status 503", true));
+        }
+
         private CompletionStage<Result> expiring(Duration timeout) {
             return new CompletableFuture<Result>()
                     .completeOnTimeout(
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/FailedDecisionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/FailedDecisionTest.java
@@ -22,6 +22,7 @@
 import org.gentianwalk.core.route.ServiceSpec;
 import org.gentianwalk.gateway.GatewaySettings;
 import org.gentianwalk.gateway.ManualExecutor;
+import org.gentianwalk.gateway.MemoryStore;
 import org.gentianwalk.gateway.control.ControlPlane;
 import org.gentianwalk.gateway.control.EngineQueryClient;
 import org.gentianwalk.gateway.http.CallerChannel;
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/GatewayFleet.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/GatewayFleet.java
@@ -21,6 +21,7 @@
 import org.gentianwalk.core.route.ServiceSpec;
 import org.gentianwalk.gateway.Gateway;
 import org.gentianwalk.gateway.GatewaySettings;
+import org.gentianwalk.gateway.MemoryStore;
 import org.gentianwalk.gateway.http.PlainDialect;
 import org.gentianwalk.gateway.wire.WireDialect;
 import org.gentianwalk.server.mesh.MeshKey;
