Tell other instances which upstreams are about to end

Each instance learned of an upstream's announced end only from an answer of its own, and until then sent requests that the upstream cut off when it ended. Load notices now name the processes that have announced their end to the sender within the last 2.5 s, and are sent at once when there is a new one. Receivers treat such a process like one that told them, and do not report it further.

A late notice changes nothing, since the process does not come back; another process under the same identifier or address is not affected, since a process is named by identifier and start time. A wrong notice ends after ten minutes, and at most 4,096 processes are kept.

UpstreamLimitsTest.anAnnouncedEndIsInForceAtAllInstances (2 and 95 instances) and aReportedEndIsBoundedInTimeAndNumber; neither method existed before.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamLimits.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamLimits.java
@@ -129,7 +129,39 @@
      * @return whether that was not known
      */
     public boolean recordLeaving(Upstream upstream, long nowNanos) {
-        return mPauses.recordLeaving(upstream.process(), nowNanos);
+        boolean changed = mPauses.recordLeaving(upstream.process(), true, nowNanos);
+        mChanges += changed ? 1 : 0;
+        return changed;
+    }
+
+    /**
+     * Records the processes that have announced their end to another instance.
+     *
+     * @param processes identifiers of the processes
+     * @param nowNanos time of receipt
+     */
+    public void mergeLeaving(List<String> processes, long nowNanos) {
+        processes.forEach(process -> mPauses.recordLeaving(process, false, nowNanos));
+    }
+
+    /**
+     * Returns the processes that have announced their end to this instance lately.
+     *
+     * @param nowNanos current time
+     * @return identifiers of the processes, to report to other instances
+     */
+    public List<String> recentlyLeaving(long nowNanos) {
+        return mPauses.recentlyLeaving(nowNanos);
+    }
+
+    /**
+     * Returns the processes that want no requests from this instance now.
+     *
+     * @param nowNanos current time
+     * @return identifiers of the processes that pause or are about to end
+     */
+    public Set<String> closedProcesses(long nowNanos) {
+        return Set.copyOf(mPauses.closed(nowNanos));
     }
 
     /**
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamPauses.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamPauses.java
@@ -1,9 +1,13 @@
 package org.gentianwalk.core.dispatch;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -25,9 +29,15 @@
     /** Interval between two requests of all instances together after a pause. */
     private static final long RECOVERY_INTERVAL_NANOS = Duration.ofMillis(50).toNanos();
 
+    /** Time for which a process that announced its end is reported to other instances. */
+    private static final long REPORT_NANOS = Duration.ofMillis(2_500).toNanos();
+
+    /** Maximum number of processes that are kept, which bounds what wrong reports can add. */
+    private static final int MAX_LEAVING = 4_096;
+
     private final RandomGenerator mRandom;
     private final Map<String, Pause> mPauses = new HashMap<>();
-    private final Map<String, Long> mLeaving = new HashMap<>();
+    private final Map<String, Leaving> mLeaving = new HashMap<>();
 
     UpstreamPauses(RandomGenerator random) {
         mRandom = random;
@@ -45,6 +55,14 @@
         }
     }
 
+    /**
+     * A process that has announced its end.
+     *
+     * @param at time at which this became known
+     * @param observed whether it was announced to this instance
+     */
+    private record Leaving(long at, boolean observed) {}
+
     /**
      * Records that a process wants no requests for a time.
      *
@@ -63,10 +81,48 @@
     /**
      * Records that a process is about to end.
      *
+     * @param observed whether it was announced to this instance, not to another one
      * @return whether that was not known
      */
-    boolean recordLeaving(String process, long nowNanos) {
-        return mLeaving.put(process, nowNanos) == null;
+    boolean recordLeaving(String process, boolean observed, long nowNanos) {
+        Leaving known = mLeaving.get(process);
+        if (known == null && mLeaving.size() >= MAX_LEAVING) {
+            return false;
+        }
+        if (known == null || observed && !known.observed()) {
+            mLeaving.put(process, new Leaving(nowNanos, observed));
+        }
+        return known == null;
+    }
+
+    /** Returns the processes that have announced their end to this instance lately. */
+    List<String> recentlyLeaving(long nowNanos) {
+        List<String> recent = new ArrayList<>();
+        mLeaving.forEach(
+                (process, leaving) -> {
+                    if (leaving.observed() && nowNanos - leaving.at() <= REPORT_NANOS) {
+                        recent.add(process);
+                    }
+                });
+        return recent;
+    }
+
+    /** Returns whether a process wants no requests from this instance now. */
+    boolean isPausing(Upstream upstream, long nowNanos) {
+        Pause pause = mPauses.get(upstream.process());
+        return pause != null && pause.until() - nowNanos > 0;
+    }
+
+    /** Returns the processes that want no requests from this instance now. */
+    Set<String> closed(long nowNanos) {
+        Set<String> closed = new HashSet<>(mLeaving.keySet());
+        mPauses.forEach(
+                (process, pause) -> {
+                    if (pause.until() - nowNanos > 0) {
+                        closed.add(process);
+                    }
+                });
+        return closed;
     }
 
     boolean isLeaving(Upstream upstream) {
@@ -97,7 +153,7 @@
 
     void expire(long nowNanos) {
         mPauses.values().removeIf(pause -> pause.isOver(nowNanos));
-        mLeaving.values().removeIf(at -> nowNanos - at > MAX_PAUSE.toNanos());
+        mLeaving.values().removeIf(leaving -> nowNanos - leaving.at() > MAX_PAUSE.toNanos());
     }
 
     private static long interval(int instances) {
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamLimitsTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamLimitsTest.java
@@ -203,6 +203,48 @@
         assertThat(limits.isPermitted(restarted, 60 * SECOND)).isTrue();
     }
 
+    /** Requests of an instance that was not told would be cut off when the process ends. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 95})
+    void anAnnouncedEndIsInForceAtAllInstances(int instances) {
+        createInstances(instances);
+        UpstreamLimits first = mInstances.getFirst();
+        long changes = first.changes();
+        first.recordLeaving(mUpstream, 0);
+        assertThat(first.changes()).as("reported at once").isGreaterThan(changes);
+        List<String> report = first.recentlyLeaving(MS);
+        List<UpstreamLimits> others = mInstances.subList(1, instances);
+        others.forEach(limits -> limits.mergeLeaving(report, 2 * MS));
+
+        assertThat(others).noneMatch(limits -> limits.isPermitted(mUpstream, 3 * MS));
+        assertThat(others)
+                .as("only the instance that was told reports it")
+                .allMatch(limits -> limits.recentlyLeaving(3 * MS).isEmpty());
+        assertThat(first.recentlyLeaving(3 * SECOND)).isEmpty();
+        Upstream restarted = Samples.restarted(mUpstream, 2);
+        assertThat(others).allMatch(limits -> limits.isPermitted(restarted, SECOND));
+    }
+
+    /** A report that is wrong, or repeated for ever, must not take an upstream away for ever. */
+    @Test
+    void aReportedEndIsBoundedInTimeAndNumber() {
+        createInstances(1);
+        UpstreamLimits limits = mInstances.getFirst();
+        long bound = UpstreamPauses.MAX_PAUSE.toNanos();
+        for (long now = 0; now <= bound; now += 30 * SECOND) {
+            limits.mergeLeaving(List.of(mUpstream.process()), now);
+        }
+        limits.expire(bound + SECOND);
+        assertThat(limits.isPermitted(mUpstream, bound + SECOND)).isTrue();
+
+        List<String> many = new ArrayList<>();
+        for (int i = 0; i < 100_000; i++) {
+            many.add("process-" + i);
+        }
+        limits.mergeLeaving(many, bound + SECOND);
+        assertThat(limits.closedProcesses(bound + SECOND)).hasSizeLessThan(5_000);
+    }
+
     /** An upstream that leaves while many requests arrive gets none of them. */
     @ParameterizedTest
     @ValueSource(ints = {10, 100, 1_000})
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -390,6 +390,16 @@
         publishLimited();
     }
 
+    @Override
+    public List<String> leavingProcesses() {
+        return mLimits.recentlyLeaving(mTicker.nanos());
+    }
+
+    @Override
+    public void recordPeerLeaving(List<String> processes) {
+        mLimits.mergeLeaving(processes, mTicker.nanos());
+    }
+
     @Override
     public void requestWithdrawn(long work) {
         execute(
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadExchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadExchange.java
@@ -111,6 +111,7 @@
             notice.addServices(LoadCodec.encode(load));
         }
         mListener.statedLimits().forEach(limit -> notice.addLimits(LoadCodec.encode(limit)));
+        notice.addAllLeaving(mListener.leavingProcesses());
         boolean includeRemote = !mWideFleet || now - mSentRemoteAt >= REPEAT_INTERVAL_NANOS;
         if (includeRemote) {
             mSentRemoteAt = now;
@@ -140,6 +141,9 @@
             if (notice.getLimitsCount() > 0) {
                 mListener.recordPeerLimits(LoadCodec.decodeLimits(notice.getLimitsList()));
             }
+            if (notice.getLeavingCount() > 0) {
+                mListener.recordPeerLeaving(notice.getLeavingList());
+            }
         }
     }
 
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadListener.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadListener.java
@@ -46,6 +46,20 @@
      */
     void recordPeerLimits(List<StatedLimit> limits);
 
+    /**
+     * Returns the upstream processes that have announced their end to this instance lately.
+     *
+     * @return identifiers of the processes
+     */
+    List<String> leavingProcesses();
+
+    /**
+     * Records the upstream processes that have announced their end to another instance.
+     *
+     * @param processes identifiers of the processes
+     */
+    void recordPeerLeaving(List<String> processes);
+
     /**
      * Updates the live instances; reports of others are discarded.
      *
