Send no checks to an engine that pauses

An engine that rejects a request with a time to come back wants nothing from the instance for that time, but liveness checks of its running generations still reached it, up to four a second. During the pause an engine is now not checked; a generation without output there moves on after two seconds, as at any engine that responds.

StreamSchedulerTest.anEngineIsNotCheckedDuringThePauseThatItAskedFor failed without the condition.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossDetector.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossDetector.java
@@ -43,16 +43,22 @@
     private final EngineView mEngineView;
     private final EngineSpeed mSpeed;
     private final LocationMap mLocations;
+    private final UpstreamLimits mLimits;
     private final Map<Upstream, EngineState> mPendingChecks = new HashMap<>();
     private List<LivenessCheck> mChecks = new ArrayList<>();
     private boolean mAwaitsInput;
     private boolean mHasInput;
     private long mInputProcessedAt;
 
-    LossDetector(EngineView engineView, EngineSpeed speed, LocationMap locations) {
+    LossDetector(
+            EngineView engineView,
+            EngineSpeed speed,
+            LocationMap locations,
+            UpstreamLimits limits) {
         mEngineView = engineView;
         mSpeed = speed;
         mLocations = locations;
+        mLimits = limits;
     }
 
     /** State of an attempt. */
@@ -133,9 +139,13 @@
         return stalled ? Diagnosis.STALLED : Diagnosis.SOUND;
     }
 
-    /** Requests a check of an engine unless one is in progress or recent. */
+    /**
+     * Requests a check of an engine unless one is in progress or recent, or the engine has asked
+     * this instance to send nothing.
+     */
     void requestCheck(EngineState engine, long nowNanos) {
-        if (!engine.startCheck(nowNanos, CHECK_INTERVAL_NANOS)) {
+        if (mLimits.isPausing(engine.upstream(), nowNanos)
+                || !engine.startCheck(nowNanos, CHECK_INTERVAL_NANOS)) {
             return;
         }
         Upstream upstream = engine.upstream();
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -107,7 +107,7 @@
         mRetries = retries;
         mLimits = limits;
         mSelector = new EngineSelector(spec, locations, mEngineView, mSpeed, limits, random);
-        mLossDetector = new LossDetector(mEngineView, mSpeed, locations);
+        mLossDetector = new LossDetector(mEngineView, mSpeed, locations, limits);
     }
 
     @Override
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamLimits.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamLimits.java
@@ -154,6 +154,17 @@
         return mPauses.recentlyLeaving(nowNanos);
     }
 
+    /**
+     * Returns whether an upstream wants nothing from this instance at present, checks included.
+     *
+     * @param upstream the upstream
+     * @param nowNanos current time
+     * @return true until the end of the pause that it asked for
+     */
+    public boolean isPausing(Upstream upstream, long nowNanos) {
+        return mPauses.isPausing(upstream, nowNanos);
+    }
+
     /**
      * Returns the processes that want no requests from this instance now.
      *
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamSchedulerTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamSchedulerTest.java
@@ -618,6 +618,33 @@
         assertThat(starts(scheduler.advance(1_100 * MS))).hasSize(1);
     }
 
+    /** An engine that asked for a pause gets nothing during it, also no checks. */
+    @Test
+    void anEngineIsNotCheckedDuringThePauseThatItAskedFor() {
+        UpstreamLimits limits = Samples.limits();
+        StreamScheduler scheduler = Samples.streamScheduler(limits);
+        scheduler.replaceUpstreams(mEngines, 0);
+        scheduler.offer(stream(1, 2, 8_000, 0), 0);
+        Decision.Start first = starts(scheduler.advance(0)).getFirst();
+        scheduler.recordProgress(1, 1, new Progress(1, SECOND, 0));
+        limits.recordPause(first.upstream(), Duration.ofSeconds(2), SECOND);
+        List<Long> checks = new ArrayList<>();
+        List<Decision.Start> moved = new ArrayList<>();
+        for (long now = SECOND; now < 4 * SECOND; now += 40 * MS) {
+            moved.addAll(starts(scheduler.advance(now)));
+            scheduler.recordProcessedInput(now);
+            moved.addAll(starts(scheduler.advance(now)));
+            for (LivenessCheck check : scheduler.takeLivenessChecks()) {
+                checks.add(now);
+                scheduler.recordLivenessCheck(check.engine(), true, now);
+            }
+        }
+
+        assertThat(checks).allMatch(at -> at >= 3 * SECOND);
+        assertThat(moved).as("a stalled generation goes on elsewhere").hasSize(1);
+        assertThat(moved.getFirst().upstream()).isNotEqualTo(first.upstream());
+    }
+
     /** The copy would be lost with the engine, just when another engine has to take over. */
     @Test
     void aLeavingEngineKeepsNoCopies() {
