Ask the record again before a request is resent

A repeatable request whose reused connection turns out to be stale is sent once more to the same upstream. If the upstream has announced its end or asked for a pause in the meantime, which is when it closes its connections, the second copy reached it against its wish. The traffic loop now sees which processes want no requests, and leaves such a request to the scheduler, which chooses another upstream.

ExchangeTest.aRequestIsNotResentToAnUpstreamThatWantsNoRequests failed without the condition (two requests sent).

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -87,6 +87,7 @@
     private final UpstreamDirectory mDirectory = new UpstreamDirectory();
     private final UpstreamLimits mLimits = new UpstreamLimits(new Random());
     private volatile Set<String> mLimited = Set.of();
+    private volatile Set<String> mClosed = Set.of();
     private final Map<String, WorkScheduler> mSchedulers = new HashMap<>();
     private final Map<Long, Request> mRequests = new HashMap<>();
     private final Set<WorkScheduler> mPendingConfirmations =
@@ -365,6 +366,7 @@
         } else if (mLimits.recordLeaving(upstream, mTicker.nanos())) {
             mLog.upstreamPaused(upstream, null);
         }
+        publishClosed();
     }
 
     @Override
@@ -372,6 +374,11 @@
         return mLimited.contains(upstream.process());
     }
 
+    @Override
+    public boolean acceptsRequests(Upstream upstream) {
+        return !mClosed.contains(upstream.process());
+    }
+
     private void publishLimited() {
         Set<String> limited = mLimits.limitedProcesses();
         if (!limited.equals(mLimited)) {
@@ -379,6 +386,13 @@
         }
     }
 
+    private void publishClosed() {
+        Set<String> closed = mLimits.closedProcesses(mTicker.nanos());
+        if (!closed.equals(mClosed)) {
+            mClosed = closed;
+        }
+    }
+
     @Override
     public List<StatedLimit> statedLimits() {
         return mLimits.recentStatements(mTicker.nanos());
@@ -398,6 +412,7 @@
     @Override
     public void recordPeerLeaving(List<String> processes) {
         mLimits.mergeLeaving(processes, mTicker.nanos());
+        publishClosed();
     }
 
     @Override
@@ -434,6 +449,7 @@
             drainInput();
             mDirectory.advance(mTicker.nanos());
             mLimits.expire(mTicker.nanos());
+            publishClosed();
             applyDirectory();
             for (WorkScheduler scheduler : mSchedulers.values()) {
                 executeDecisions(scheduler);
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/ControlPort.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/ControlPort.java
@@ -81,4 +81,13 @@
      * @param work number of the request
      */
     void requestWithdrawn(long work);
+
+    /**
+     * Returns whether an upstream accepts requests from this instance at present, as far as the
+     * control thread has recorded it. May be called on the traffic loop.
+     *
+     * @param upstream the upstream
+     * @return false during a pause that it asked for, and after it has announced its end
+     */
+    boolean acceptsRequests(Upstream upstream);
 }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -370,7 +370,10 @@
             if (mAttempt != this) {
                 return;
             }
-            if (failure == Failure.STALE && mWork.kind().isRepeatable() && !mResent) {
+            if (failure == Failure.STALE
+                    && mWork.kind().isRepeatable()
+                    && !mResent
+                    && mCollaborators.control().acceptsRequests(mStart.upstream())) {
                 mResent = true;
                 send();
                 return;
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -117,6 +117,18 @@
         assertThat(mControl.mLog).containsExactly("ended 1 RESET");
     }
 
+    /** An upstream that ends closes its connections; a request sent once more would be cut off. */
+    @Test
+    void aRequestIsNotResentToAnUpstreamThatWantsNoRequests() {
+        Exchange exchange = exchange(RequestKind.IDEMPOTENT_CALL, 0);
+        start(exchange, 1, FIRST);
+        mControl.mAcceptsRequests = false;
+        mSent.getFirst().listener().onFailure(Failure.STALE, "closed");
+
+        assertThat(mSent).hasSize(1);
+        assertThat(mControl.mLog).containsExactly("ended 1 RESET");
+    }
+
     /** An upstream that crashes closes its connections, and refuses new ones after that. */
     @Test
     void aRequestUnderWhichItsUpstreamCrashedCountsAsExecuted() {
@@ -553,6 +565,7 @@
     private static final class RecordedControl implements ControlPort {
         private final List<String> mLog = new ArrayList<>();
         private boolean mHasLimit;
+        private boolean mAcceptsRequests = true;
 
         @Override
         public void requestArrived(Work work, Exchange exchange) {
@@ -586,6 +599,11 @@
             mLog.add("paused " + pause);
         }
 
+        @Override
+        public boolean acceptsRequests(Upstream upstream) {
+            return mAcceptsRequests;
+        }
+
         @Override
         public boolean hasRequestLimit(Upstream upstream) {
             return mHasLimit;
