Accept only answers that name the request

An answer without an identifier was taken for the answer to whatever request was in progress on its connection, and bytes that arrived on an idle connection without completing the head of an answer stayed in its parser, in front of the next answer. Answers to other requests, and interim ones, were skipped without a bound, until the deadline of the caller.

An answer without an identifier now ends its attempt, where the request has one. A connection is closed when bytes arrive on it while it is idle, or follow an answer. At most 16 other answers, or 1 MB of them, are skipped.

LateAnswerTest, real sockets: eight forms of an additional answer at three moments for two kinds of calls. Before, callers got the answer of a stranger (a success without identifier while a call waits, both kinds), the call after a cut answer failed, and answers without end kept a caller for 4 s; the other 45 cases held.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamClient.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamClient.java
@@ -3,6 +3,8 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -11,6 +13,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.ReferenceCountUtil;
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -186,24 +189,61 @@
     }
 
     static void initPipeline(Channel channel, UpstreamConnection connection) {
-        HttpDecoderConfig decoder =
-                new HttpDecoderConfig()
-                        .setMaxInitialLineLength(MAX_HEAD_BYTES)
-                        .setMaxHeaderSize(MAX_HEAD_BYTES)
-                        .setMaxChunkSize(MAX_CHUNK_BYTES);
+        ResponseDecoder decoder = new ResponseDecoder(connection);
+        connection.unparsedBytes(decoder::hasUnparsedBytes);
         channel.pipeline()
                 .addLast(new HttpRequestEncoder())
-                .addLast(
-                        new HttpResponseDecoder(decoder) {
-                            @Override
-                            protected boolean isContentAlwaysEmpty(HttpMessage message) {
-                                return connection.isHeadRequest()
-                                        || super.isContentAlwaysEmpty(message);
-                            }
-                        })
+                .addLast(new IdleInputDetector(connection))
+                .addLast(decoder)
                 .addLast(connection);
     }
 
+    /** Parses responses. */
+    private static final class ResponseDecoder extends HttpResponseDecoder {
+        private final UpstreamConnection mConnection;
+
+        ResponseDecoder(UpstreamConnection connection) {
+            super(
+                    new HttpDecoderConfig()
+                            .setMaxInitialLineLength(MAX_HEAD_BYTES)
+                            .setMaxHeaderSize(MAX_HEAD_BYTES)
+                            .setMaxChunkSize(MAX_CHUNK_BYTES));
+            mConnection = connection;
+        }
+
+        /** Returns whether bytes follow what has been parsed so far. */
+        boolean hasUnparsedBytes() {
+            return actualReadableBytes() > 0;
+        }
+
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            return mConnection.isHeadRequest() || super.isContentAlwaysEmpty(message);
+        }
+    }
+
+    /**
+     * Closes an idle connection when bytes arrive on it. They would otherwise be parsed as the
+     * begin of the response to the next request.
+     */
+    private static final class IdleInputDetector extends ChannelInboundHandlerAdapter {
+        private final UpstreamConnection mConnection;
+
+        IdleInputDetector(UpstreamConnection connection) {
+            mConnection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (mConnection.isIdle()) {
+                ReferenceCountUtil.release(message);
+                context.close();
+            } else {
+                context.fireChannelRead(message);
+            }
+        }
+    }
+
     /** A call whose connection is being established. */
     private static final class ConnectingCall implements UpstreamCall {
         private final UpstreamConnection mConnection;
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
@@ -18,6 +18,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.gentianwalk.gateway.http.UpstreamListener.Failure;
 import org.gentianwalk.gateway.wire.ResponseHead;
 import org.jspecify.annotations.Nullable;
@@ -27,8 +28,18 @@
     /** Unsuccessful requests after which a connection is closed; bounds their record. */
     private static final int MAX_UNSUCCESSFUL = 64;
 
+    /**
+     * Responses to other requests, and interim ones, that are skipped before the awaited response.
+     * An upstream that sends more does not respond to the request.
+     */
+    private static final int MAX_SKIPPED = 16;
+
+    /** Bytes of responses to other requests that are skipped before the awaited response. */
+    private static final int MAX_SKIPPED_BYTES = 1 << 20;
+
     private final UpstreamClient mClient;
     private final String mAddress;
+    private BooleanSupplier mUnparsedBytes = () -> false;
     private @Nullable ChannelHandlerContext mContext;
     private @Nullable UpstreamListener mListener;
     private @Nullable UpstreamRequest mRequest;
@@ -38,6 +49,8 @@
     private boolean mReused;
     private boolean mReusable;
     private boolean mFramed;
+    private int mSkipped;
+    private int mSkippedBytes;
     private @Nullable Throwable mError;
 
     /**
@@ -70,6 +83,16 @@
         return mAddress;
     }
 
+    /** Sets what returns whether bytes follow the parsed ones. */
+    void unparsedBytes(BooleanSupplier unparsedBytes) {
+        mUnparsedBytes = unparsedBytes;
+    }
+
+    /** Returns whether no request is in progress, so that no byte is expected. */
+    boolean isIdle() {
+        return mPhase == Phase.NONE;
+    }
+
     boolean isUsable(long nowNanos, UpstreamRequest request) {
         ChannelHandlerContext context = mContext;
         if (context == null
@@ -108,6 +131,8 @@
         mReused = reused;
         mReusable = true;
         mHead = null;
+        mSkipped = 0;
+        mSkippedBytes = 0;
         mPhase = Phase.HEAD;
         mWritten = context.writeAndFlush(message);
     }
@@ -209,6 +234,7 @@
         }
         ResponseHead head = mClient.dialect().parseResponseHead(response);
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            countSkipped();
             return;
         }
         if (head.requestId() != null && !head.requestId().equals(request.requestId())) {
@@ -216,7 +242,14 @@
             mReusable = false;
             if (!isFramed(response)) {
                 fail(Failure.GARBLED, "the response belongs to another request");
+                return;
             }
+            countSkipped();
+            return;
+        }
+        if (head.requestId() == null && !request.requestId().isEmpty()) {
+            // Upstreams echo the identifier, so this may be the response to any other request.
+            fail(Failure.GARBLED, "the response does not state its request");
             return;
         }
         mPhase = Phase.BODY;
@@ -232,6 +265,13 @@
         }
     }
 
+    private void countSkipped() {
+        mSkipped++;
+        if (mSkipped > MAX_SKIPPED) {
+            fail(Failure.GARBLED, "too many responses to other requests");
+        }
+    }
+
     private boolean isFramed(HttpResponse response) {
         return isHeadRequest()
                 || HttpUtil.isContentLengthSet(response)
@@ -240,9 +280,7 @@
 
     private void readContent(HttpContent content) {
         if (mPhase == Phase.STRAY_BODY) {
-            if (content instanceof LastHttpContent) {
-                mPhase = Phase.HEAD;
-            }
+            skip(content);
             return;
         }
         if (mPhase != Phase.BODY) {
@@ -261,6 +299,16 @@
         }
     }
 
+    /** Drops a part of the response to another request. */
+    private void skip(HttpContent content) {
+        mSkippedBytes += content.content().readableBytes();
+        if (mSkippedBytes > MAX_SKIPPED_BYTES) {
+            fail(Failure.GARBLED, "the response to another request is too long");
+        } else if (content instanceof LastHttpContent) {
+            mPhase = Phase.HEAD;
+        }
+    }
+
     private void complete() {
         UpstreamListener listener = mListener;
         ChannelFuture written = mWritten;
@@ -271,7 +319,8 @@
         // An upstream that responds before it has received the whole body would parse the next
         // request as the rest of that body.
         boolean sent = written != null && written.isSuccess();
-        if (mReusable && sent) {
+        // Bytes after the response would be parsed as the begin of the next one.
+        if (mReusable && sent && !mUnparsedBytes.getAsBoolean()) {
             // A slow caller may have paused reading, which must not affect the next request.
             setReading(true);
             mIdleSince = mClient.now();
