Let only the first signal to stop count

A second SIGTERM during a stop moved the time at which requests in progress get their final answer, while the process was ended at the grace period of the first one: requests that ran then were cut off without an answer.

PlannedStopTest.requestsGetTheirAnswersInTimeAlsoAfterASecondSignal failed before (no answer before the end). The other cases of the test held at once: half-read heads and bodies, 40 callers that go on to use and open connections, a stream at the end of the grace period, new streams. Instances of socket tests now choose other ports when theirs are taken.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
@@ -118,11 +118,15 @@
      * Stops gracefully: the readiness check fails first, and calls are served as long as they can
      * be finished within the grace period, since the balancer may go on to send connections.
      * Requests still in progress shortly before its end get a final answer. The instance ends once
-     * no connection is left or the grace period is over.
+     * no connection is left or the grace period is over. Further calls have no effect, since the
+     * grace period runs from the first one.
      *
      * @param done called at the end, on the traffic loop
      */
-    public void stop(Runnable done) {
+    public synchronized void stop(Runnable done) {
+        if (mStopping) {
+            return;
+        }
         mStopping = true;
         long startNanos = mTicker.nanos();
         mControlPlane.announceStop(startNanos + mSettings.stopGrace().minus(STOP_MARGIN).toNanos());
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/GatewayFleet.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/GatewayFleet.java
@@ -34,6 +34,8 @@
     static final String DESK = "desk";
     static final String WRITER = "writer";
 
+    private static final int MAX_STARTS = 10;
+
     private static final List<MeshKey> KEYS =
             List.of(new MeshKey("key", "0123456789abcdef".getBytes()));
 
@@ -93,26 +95,28 @@
 
     /** Starts an instance and waits until it serves. */
     Instance start(String name, String zone, Duration grace) throws Exception {
-        InetSocketAddress callers = freeAddress();
-        GatewaySettings settings =
-                new GatewaySettings(
-                        name,
-                        new LocationMap(
-                                new Location("region", zone),
-                                Map.of("a", "region", "b", "region", "c", "region")),
-                        callers,
-                        freeAddress(),
-                        null,
-                        new GatewaySettings.Mesh(freeAddress(), KEYS),
-                        "127.0.0.1:1",
-                        new RetryBounds(0.8, 150, Duration.ofSeconds(10)),
-                        Duration.ofMillis(2_500),
-                        Duration.ofMillis(2_500),
-                        grace,
-                        "WARN");
         MemoryStore.Client store = mStore.client();
-        Gateway gateway = new Gateway(settings, mDialect, mRows, (sender, executor) -> store);
-        gateway.start();
+        InetSocketAddress callers = null;
+        Gateway gateway = null;
+        for (int attempt = 1; gateway == null; attempt++) {
+            callers = freeAddress();
+            Gateway created =
+                    new Gateway(
+                            settings(name, zone, callers, grace),
+                            mDialect,
+                            mRows,
+                            (sender, executor) -> store);
+            try {
+                created.start();
+                gateway = created;
+            } catch (IOException e) {
+                // Another process may have taken a port that was free.
+                created.close();
+                if (attempt == MAX_STARTS) {
+                    throw e;
+                }
+            }
+        }
         Thread stopped = Thread.ofPlatform().unstarted(gateway::close);
         Instance instance = new Instance(gateway, callers, store, stopped);
         mInstances.add(instance);
@@ -130,6 +134,26 @@
         return instance;
     }
 
+    private static GatewaySettings settings(
+            String name, String zone, InetSocketAddress callers, Duration grace)
+            throws IOException {
+        return new GatewaySettings(
+                name,
+                new LocationMap(
+                        new Location("region", zone),
+                        Map.of("a", "region", "b", "region", "c", "region")),
+                callers,
+                freeAddress(),
+                null,
+                new GatewaySettings.Mesh(freeAddress(), KEYS),
+                "127.0.0.1:1",
+                new RetryBounds(0.8, 150, Duration.ofSeconds(10)),
+                Duration.ofMillis(2_500),
+                Duration.ofMillis(2_500),
+                grace,
+                "WARN");
+    }
+
     /** Stops an instance as its process does on a signal; it closes once it is done. */
     static void stop(Instance instance) {
         instance.gateway()
--- /dev/null
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/PlannedStopTest.java
@@ -0,0 +1,186 @@
+package org.gentianwalk.gateway.sockets;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests that a stopping instance has read and cuts off without an answer. */
+class PlannedStopTest {
+    private static final Duration GRACE = Duration.ofSeconds(4);
+
+    private final Set<String> mExecuted = ConcurrentHashMap.newKeySet();
+    private GatewayFleet mFleet;
+    private ScriptedUpstream mDesk;
+    private ScriptedUpstream mWriter;
+    private GatewayFleet.Instance mInstance;
+
+    @BeforeEach
+    void start() throws Exception {
+        mFleet = new GatewayFleet();
+        mDesk =
+                new ScriptedUpstream(
+                        "u1",
+                        (request, connection) -> {
+                            mExecuted.add(request.id());
+                            Thread.sleep(request.target().contains("slow") ? 60_000 : 10);
+                            connection.write(ScriptedUpstream.success(request, "ok"));
+                        });
+        mWriter =
+                new ScriptedUpstream(
+                        "w1",
+                        (request, connection) -> {
+                            connection.write(ScriptedUpstream.streamHead(request));
+                            for (int event = 1; event < 200; event++) {
+                                connection.write("id: " + event + "\ndata: x\n\n");
+                                Thread.sleep(100);
+                            }
+                        });
+        mFleet.configure(Duration.ofSeconds(15));
+        mFleet.list(mDesk.entry(GatewayFleet.DESK, "a"));
+        mFleet.list(mWriter.entry(GatewayFleet.WRITER, "a"));
+        mInstance = mFleet.start("i1", "a", GRACE);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mFleet.close();
+        mDesk.close();
+        mWriter.close();
+    }
+
+    /** A second signal must not move the time by which the requests have their answers. */
+    @Test
+    void requestsGetTheirAnswersInTimeAlsoAfterASecondSignal() throws Exception {
+        try (RawCaller caller = mInstance.caller()) {
+            caller.send("/unsafe/slow", "slow-1");
+            GatewayFleet.await(
+                    "the call runs", Duration.ofSeconds(2), () -> mExecuted.contains("slow-1"));
+            long start = System.nanoTime();
+            GatewayFleet.stop(mInstance);
+            Thread.sleep(1_500);
+            GatewayFleet.stop(mInstance);
+            RawCaller.Response response = caller.read();
+            Duration took = Duration.ofNanos(System.nanoTime() - start);
+
+            assertThat(response).as("an answer before the process ends").isNotNull();
+            assertThat(response.status()).isEqualTo(502);
+            assertThat(response.complete()).isTrue();
+            assertThat(took).isLessThan(GRACE);
+        }
+    }
+
+    /** Requests of which a part was read when the signal came are requests like others. */
+    @Test
+    void halfReadRequestsAreAnsweredWhole() throws Exception {
+        try (RawCaller head = mInstance.caller();
+                RawCaller body = mInstance.caller()) {
+            head.write("POST /unsafe/a HTTP/1.1\r\nHost: host\r\nx-id: head");
+            body.write("POST /unsafe/a HTTP/1.1\r\nHost: host\r\nx-id: body\r\nContent-Length: 4");
+            body.write("\r\n\r\nab");
+            Thread.sleep(50);
+            GatewayFleet.stop(mInstance);
+            Thread.sleep(300);
+            head.write("-1\r\nContent-Length: 2\r\n\r\nhi");
+            body.write("cd");
+
+            for (RawCaller caller : List.of(head, body)) {
+                RawCaller.Response response = caller.read();
+                assertThat(response).isNotNull();
+                assertThat(response.status()).isEqualTo(200);
+                assertThat(response.complete()).isTrue();
+                assertThat(response.headers()).containsEntry("connection", "close");
+            }
+        }
+    }
+
+    /** Callers go on to use their connections until they are closed, and open new ones. */
+    @Test
+    void everyRequestThatIsReadDuringTheStopIsAnswered() throws Exception {
+        List<Future<Integer>> callers = new ArrayList<>();
+        long end = System.nanoTime() + GRACE.plusMillis(500).toNanos();
+        try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+            for (int i = 0; i < 40; i++) {
+                String name = "caller-" + i + "-";
+                callers.add(threads.submit(() -> callUntil(end, name)));
+            }
+            Thread.sleep(200);
+            GatewayFleet.stop(mInstance);
+            int answered = 0;
+            for (Future<Integer> caller : callers) {
+                answered += caller.get();
+            }
+            assertThat(answered).isGreaterThan(1_000);
+        }
+    }
+
+    /** Returns the number of answered calls; fails when an executed call got no answer. */
+    private int callUntil(long end, String name) throws Exception {
+        int answered = 0;
+        for (int i = 0; System.nanoTime() - end < 0; ) {
+            try (RawCaller caller = mInstance.caller()) {
+                boolean open = true;
+                while (open && System.nanoTime() - end < 0) {
+                    String id = name + i++;
+                    RawCaller.Response response = caller.call("/unsafe/a", id);
+                    if (response == null) {
+                        // The connection was closed while the request was on its way.
+                        assertThat(mExecuted).as("executed without an answer").doesNotContain(id);
+                        open = false;
+                        continue;
+                    }
+                    assertThat(response.complete()).isTrue();
+                    if (response.status() == 503) {
+                        assertThat(mExecuted).as("executed, but refused").doesNotContain(id);
+                    }
+                    answered++;
+                    open = !"close".equals(response.headers().get("connection"));
+                }
+            } catch (java.net.ConnectException e) {
+                return answered;
+            } catch (java.net.SocketException e) {
+                // A reset while a request is being written.
+                continue;
+            }
+        }
+        return answered;
+    }
+
+    /** A stream that is broken off at the end of the stop must not look complete. */
+    @Test
+    void aStreamAtTheEndOfTheStopDoesNotLookComplete() throws Exception {
+        try (RawCaller caller = mInstance.caller()) {
+            caller.send("/stream/a", "stream-1");
+            Thread.sleep(300);
+            GatewayFleet.stop(mInstance);
+            RawCaller.Response response = caller.read();
+
+            assertThat(response.status()).isEqualTo(200);
+            assertThat(response.body()).contains("id: 10\n");
+            assertThat(response.complete()).isFalse();
+        }
+    }
+
+    /** Another instance can finish a stream; this one can't. */
+    @Test
+    void newStreamsAreRefusedAtOnceWithTheTimeToComeBack() throws Exception {
+        try (RawCaller caller = mInstance.caller()) {
+            GatewayFleet.stop(mInstance);
+            RawCaller.Response response = caller.call("/stream/a", "stream-2");
+
+            assertThat(response.status()).isEqualTo(503);
+            assertThat(response.headers()).containsKey("retry-after");
+            assertThat(response.took()).isLessThan(Duration.ofMillis(500));
+            assertThat(mWriter.received()).isEmpty();
+        }
+    }
+}
