Log whether the loss of an upstream counts against a request

Cause: the log showed that an attempt ended by a reset, but not whether that loss was confirmed, by which sign and how much later, nor whether it was dropped. The three hypotheses on the crashing call that is known too late (docs/incidents/2026-12-05-crashing-call-known-late.md) could not be told apart in the logs of an instance.

Change: the schedulers hand out settled losses, at most 64 between two decisions, and the control plane logs each with its sign and delay.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallEvidence.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallEvidence.java
@@ -21,9 +21,14 @@
     private long mChanges;
 
     /** Records what the end of an attempt shows. */
-    void recordEnd(SuspectSubject subject, CallTarget target, AttemptEnd end, long nowNanos) {
+    void recordEnd(
+            String requestId,
+            SuspectSubject subject,
+            CallTarget target,
+            AttemptEnd end,
+            long nowNanos) {
         if (end.isProcessLost()) {
-            mLosses.recordLoss(target, subject, true, nowNanos);
+            mLosses.recordLoss(target, requestId, subject, true, nowNanos);
         } else if (end == AttemptEnd.SUCCEEDED || end == AttemptEnd.ANSWERED_ERROR) {
             mChanges += mLosses.recordOutput(subject, nowNanos) ? 1 : 0;
         }
@@ -35,6 +40,10 @@
         }
     }
 
+    List<SettledLoss> takeSettled() {
+        return mLosses.takeSettled();
+    }
+
     Verdict verdict(SuspectSubject subject, long nowNanos) {
         return mLosses.verdict(subject, nowNanos);
     }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -129,7 +129,7 @@
         call.mTarget = null;
         target.release();
         target.recordEnd(end, nowNanos);
-        mEvidence.recordEnd(call.mSubject, target, end, nowNanos);
+        mEvidence.recordEnd(call.mWork.requestId(), call.mSubject, target, end, nowNanos);
         call.mLosses += end.isProcessLost() ? 1 : 0;
         if (end == AttemptEnd.SUCCEEDED) {
             mDuration.record(nowNanos - call.mStartedAt);
@@ -221,6 +221,11 @@
         mEvidence.restore(entries, own, nowNanos);
     }
 
+    @Override
+    public List<SettledLoss> takeSettledLosses() {
+        return mEvidence.takeSettled();
+    }
+
     private void handleNotExecuted(Call call, AttemptEnd end, long nowNanos) {
         call.mUnexecutedAttempts++;
         boolean retry = call.mUnexecutedAttempts < MAX_UNEXECUTED_ATTEMPTS;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EvidenceAware.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EvidenceAware.java
@@ -25,4 +25,11 @@
      * @param nowNanos current time
      */
     void restoreEvidence(List<SuspectEntry> entries, boolean own, long nowNanos);
+
+    /**
+     * Returns the losses of upstreams under requests that were settled since the last call.
+     *
+     * @return a bounded number of losses; usually none
+     */
+    List<SettledLoss> takeSettledLosses();
 }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
@@ -28,11 +28,15 @@
      */
     private static final long REPORT_DELAY_NANOS = Duration.ofMillis(250).toNanos();
 
+    /** Maximum number of settled losses that wait to be logged. */
+    private static final int MAX_SETTLED = 64;
+
     /** Maximum number of suspects that an instance keeps for each service. */
     private static final int MAX_KEPT = 32;
 
     private final SuspectTable mSuspects;
     private final List<Loss<P>> mUnconfirmed = new ArrayList<>();
+    private List<SettledLoss> mSettled = new ArrayList<>();
 
     LossEvidence(SuspectTable suspects) {
         mSuspects = suspects;
@@ -57,19 +61,29 @@
      * A request that had no output yet when its upstream may have been lost.
      *
      * @param process the upstream's process
-     * @param subject the request
+     * @param requestId identifier of the request
+     * @param subject what the loss may be attributed to
      * @param closed true when the connection was closed, false when the upstream did not respond
      * @param atNanos time of the loss
      */
-    private record Loss<P>(P process, SuspectSubject subject, boolean closed, long atNanos) {}
+    private record Loss<P>(
+            P process, String requestId, SuspectSubject subject, boolean closed, long atNanos) {}
 
     /** Records that an attempt without output has lost its upstream. */
-    void recordLoss(P process, SuspectSubject subject, boolean closed, long nowNanos) {
+    void recordLoss(
+            P process, String requestId, SuspectSubject subject, boolean closed, long nowNanos) {
         if (subject.isKnown()) {
-            mUnconfirmed.add(new Loss<>(process, subject, closed, nowNanos));
+            mUnconfirmed.add(new Loss<>(process, requestId, subject, closed, nowNanos));
         }
     }
 
+    /** Returns the losses that were settled since the last call. */
+    List<SettledLoss> takeSettled() {
+        List<SettledLoss> settled = mSettled;
+        mSettled = new ArrayList<>();
+        return settled;
+    }
+
     /**
      * Records that an attempt has produced output.
      *
@@ -103,14 +117,14 @@
      *
      * @return whether a loss was confirmed
      */
-    boolean recordCheck(P process, boolean responded) {
+    boolean recordCheck(P process, boolean responded, long nowNanos) {
         Predicate<Loss<P>> isChecked =
                 loss -> loss.process() == process && process.isCheckedSince(loss.atNanos());
         if (responded) {
-            mUnconfirmed.removeIf(isChecked);
+            drop(isChecked, SettledLoss.Sign.ALIVE, nowNanos);
             return false;
         }
-        return confirm(isChecked.and(Loss::closed));
+        return confirm(isChecked.and(Loss::closed), SettledLoss.Sign.UNRESPONSIVE, nowNanos);
     }
 
     /**
@@ -123,11 +137,15 @@
         if (mUnconfirmed.isEmpty()) {
             return false;
         }
-        mUnconfirmed.removeIf(
-                loss ->
-                        loss.process().isAliveSince(loss.atNanos() + REPORT_DELAY_NANOS)
-                                || nowNanos - loss.atNanos() > MAX_CONFIRMATION_NANOS);
-        return confirm(loss -> loss.process().hasEnded());
+        drop(
+                loss -> loss.process().isAliveSince(loss.atNanos() + REPORT_DELAY_NANOS),
+                SettledLoss.Sign.ALIVE,
+                nowNanos);
+        drop(
+                loss -> nowNanos - loss.atNanos() > MAX_CONFIRMATION_NANOS,
+                SettledLoss.Sign.EXPIRED,
+                nowNanos);
+        return confirm(loss -> loss.process().hasEnded(), SettledLoss.Sign.ENDED, nowNanos);
     }
 
     /** Returns the evidence that this instance has to keep beyond its life. */
@@ -142,8 +160,9 @@
                 : Verdict.UNKNOWN;
     }
 
-    private boolean confirm(Predicate<Loss<P>> isConfirmed) {
-        List<Loss<P>> confirmed = mUnconfirmed.stream().filter(isConfirmed).toList();
+    private boolean confirm(
+            Predicate<Loss<P>> isConfirmed, SettledLoss.Sign sign, long nowNanos) {
+        List<Loss<P>> confirmed = drop(isConfirmed, sign, nowNanos);
         for (Loss<P> loss : confirmed) {
             mSuspects.recordLoss(
                     loss.subject().request(),
@@ -151,7 +170,23 @@
                     loss.process().upstream().process(),
                     loss.atNanos());
         }
-        mUnconfirmed.removeAll(confirmed);
         return !confirmed.isEmpty();
     }
+
+    /** Removes losses from the unconfirmed ones, and returns them. */
+    private List<Loss<P>> drop(Predicate<Loss<P>> isSettled, SettledLoss.Sign sign, long nowNanos) {
+        List<Loss<P>> dropped = mUnconfirmed.stream().filter(isSettled).toList();
+        mUnconfirmed.removeAll(dropped);
+        for (Loss<P> loss : dropped) {
+            if (mSettled.size() < MAX_SETTLED) {
+                mSettled.add(
+                        new SettledLoss(
+                                loss.process().upstream().process(),
+                                loss.requestId(),
+                                sign,
+                                Duration.ofNanos(nowNanos - loss.atNanos())));
+            }
+        }
+        return dropped;
+    }
 }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -234,7 +234,8 @@
 
     private void recordLoss(StreamRun run, EngineState engine, boolean closed, long nowNanos) {
         if (!run.hasOutput()) {
-            mEvidence.recordLoss(engine, run.subject(), closed, nowNanos);
+            mEvidence.recordLoss(
+                    engine, run.work().requestId(), run.subject(), closed, nowNanos);
         }
     }
 
@@ -330,7 +331,7 @@
     @Override
     public void recordLivenessCheck(Upstream engine, boolean responded, long nowNanos) {
         EngineState checked = mLossDetector.recordCheck(engine, responded, nowNanos);
-        if (checked != null && mEvidence.recordCheck(checked, responded)) {
+        if (checked != null && mEvidence.recordCheck(checked, responded, nowNanos)) {
             mLoadChanges++;
         }
     }
@@ -385,6 +386,11 @@
         mSuspects.restore(entries, own, nowNanos);
     }
 
+    @Override
+    public List<SettledLoss> takeSettledLosses() {
+        return mEvidence.takeSettled();
+    }
+
     /** Ends all attempts at an engine process that is known to have ended. */
     private void endAttempts(EngineState engine, long nowNanos) {
         for (StreamRun run : List.copyOf(mRuns.values())) {
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -18,6 +18,7 @@
 import org.gentianwalk.core.dispatch.CallScheduler;
 import org.gentianwalk.core.dispatch.Decision;
 import org.gentianwalk.core.dispatch.Decision.Ending;
+import org.gentianwalk.core.dispatch.EvidenceAware;
 import org.gentianwalk.core.dispatch.FleetRetryBudget;
 import org.gentianwalk.core.dispatch.InputAware;
 import org.gentianwalk.core.dispatch.InstanceLoad;
@@ -541,6 +542,9 @@
         if (scheduler instanceof CacheAware aware) {
             aware.takeCacheQueries().forEach(engine -> queryCachedParts(scheduler, aware, engine));
         }
+        if (scheduler instanceof EvidenceAware aware) {
+            aware.takeSettledLosses().forEach(mLog::lossSettled);
+        }
         if (scheduler instanceof LivenessAware aware) {
             aware.takeLivenessChecks().forEach(check -> checkLiveness(scheduler, aware, check));
         }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
@@ -7,6 +7,7 @@
 import org.gentianwalk.core.dispatch.Decision;
 import org.gentianwalk.core.dispatch.GenerationShape;
 import org.gentianwalk.core.dispatch.LivenessAware.LivenessCheck;
+import org.gentianwalk.core.dispatch.SettledLoss;
 import org.gentianwalk.core.dispatch.Upstream;
 import org.gentianwalk.core.dispatch.Work;
 import org.gentianwalk.gateway.traffic.Delivery;
@@ -237,6 +238,21 @@
                 new Fields().with("kept_by", instances).with("suspects", suspects));
     }
 
+    /**
+     * Logs whether the loss of an upstream counts against the request that it was executing.
+     *
+     * @param loss the settled loss
+     */
+    public void lossSettled(SettledLoss loss) {
+        LOG.infov(
+                loss.isConfirmed() ? "loss confirmed" : "loss dropped",
+                new Fields()
+                        .with("request", loss.requestId())
+                        .with("process", loss.process())
+                        .with("sign", loss.sign().name().toLowerCase(Locale.ROOT))
+                        .with("after_ms", loss.after().toMillis()));
+    }
+
     /**
      * Logs that an entry was removed from the list of upstreams.
      *
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/control/EvidenceKeeperTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/control/EvidenceKeeperTest.java
@@ -12,6 +12,7 @@
 import org.gentianwalk.core.dispatch.Decision;
 import org.gentianwalk.core.dispatch.EvidenceAware;
 import org.gentianwalk.core.dispatch.Progress;
+import org.gentianwalk.core.dispatch.SettledLoss;
 import org.gentianwalk.core.dispatch.Upstream;
 import org.gentianwalk.core.dispatch.UpstreamLoad;
 import org.gentianwalk.core.dispatch.Work;
@@ -233,6 +234,11 @@
         private final List<String> mRestored = new ArrayList<>();
         private List<SuspectEntry> mEvidence = List.of();
 
+        @Override
+        public List<SettledLoss> takeSettledLosses() {
+            return List.of();
+        }
+
         @Override
         public List<SuspectEntry> evidenceToKeep(long nowNanos) {
             return mEvidence;
