Report a loss to other instances from its confirmation on

Cause: evidence is reported for 2.5 s. This time ran from the loss, but a loss counts only once the process is known to have ended. Where the list shows that, it takes up to 4.4 s, and the evidence was never reported: each instance had to lose two upstreams of its own.

Change: the time runs from the confirmation. The time of the loss itself still decides on separate events and on expiry.

Evidence: CrashingCallTest.aLossThatIsConfirmedLateIsReportedToOtherInstances failed before (Expecting ArrayList: [] to contain the content).

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
@@ -168,7 +168,8 @@
                     loss.subject().request(),
                     loss.subject().parts(),
                     loss.process().upstream().process(),
-                    loss.atNanos());
+                    loss.atNanos(),
+                    nowNanos);
         }
         return !confirmed.isEmpty();
     }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/SuspectTable.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/SuspectTable.java
@@ -107,7 +107,7 @@
      * @param nowNanos time of the loss
      */
     public void recordLoss(Fingerprint request, String engine, long nowNanos) {
-        recordLoss(request, List.of(), engine, nowNanos);
+        recordLoss(request, List.of(), engine, nowNanos, nowNanos);
     }
 
     /**
@@ -116,13 +116,19 @@
      * @param request the request
      * @param parts the parts of its prompt that other requests may share
      * @param engine the engine
-     * @param nowNanos time of the loss
+     * @param atNanos time of the loss
+     * @param nowNanos current time, from which on the loss is reported; a loss may be confirmed
+     *     seconds after it occurred
      */
     public void recordLoss(
-            Fingerprint request, Collection<Fingerprint> parts, String engine, long nowNanos) {
+            Fingerprint request,
+            Collection<Fingerprint> parts,
+            String engine,
+            long atNanos,
+            long nowNanos) {
         int hash = engineHash(engine);
         long id = Suspect.lossId(hash, ++mSequence);
-        Suspect.Loss loss = new Suspect.Loss(id, requestHash(request), nowNanos);
+        Suspect.Loss loss = new Suspect.Loss(id, requestHash(request), atNanos);
         addLoss(request, false, loss).recordObservation(nowNanos);
         for (Fingerprint part : parts) {
             addLoss(part, true, loss).recordObservation(nowNanos);
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingCallTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingCallTest.java
@@ -5,6 +5,7 @@
 import static org.gentianwalk.core.dispatch.Samples.SECOND;
 import static org.gentianwalk.core.dispatch.Samples.upstream;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -13,6 +14,7 @@
 import java.util.TreeMap;
 import org.gentianwalk.core.dispatch.Decision.Ending;
 import org.gentianwalk.core.model.Fingerprint;
+import org.gentianwalk.core.policy.suspect.SuspectEntry;
 import org.gentianwalk.core.route.RequestKind;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -30,6 +32,15 @@
     private static final long DURATION = 21 * MS;
     private static final long RESTART = 2 * SECOND;
 
+    /** Time until an upstream that is started under another identifier listens again. */
+    private static final long RENAMED_RESTART = SECOND;
+
+    /** Delay with which changes of the list reach the instances. */
+    private static final long LIST_DELAY = 800 * MS;
+
+    /** Time after its last heartbeat at which the entry of an upstream is removed. */
+    private static final long ENTRY_LIFETIME = 3_600 * MS;
+
     /** Crashes after which a repeated call may reach upstreams at most three times. */
     private static final int CRASHES_TO_DETECT = 3;
 
@@ -39,11 +50,19 @@
     private final List<CallScheduler> mInstances = new ArrayList<>();
     private final Map<String, Upstream> mUpstreams = new TreeMap<>();
     private final Map<String, Long> mRestarts = new TreeMap<>();
+    private final Map<String, Long> mRemovals = new TreeMap<>();
+    private final Map<String, Long> mListings = new TreeMap<>();
+
+    /** The upstream process that listens at each address. */
+    private final Map<String, Upstream> mListening = new TreeMap<>();
+
+    private boolean mRenamed;
     private final Map<Long, Attempt> mRunning = new TreeMap<>();
     private final List<Long> mCrashes = new ArrayList<>();
     private final List<Long> mCrashingStarts = new ArrayList<>();
     private final Map<Long, Decision.Finish> mFinishes = new HashMap<>();
     private long mNextId;
+    private int mNextUpstream = 100;
 
     private record Attempt(int instance, Decision.Start start, long endsAt) {}
 
@@ -51,6 +70,7 @@
         for (int i = 0; i < upstreams; i++) {
             Upstream upstream = upstream("desk-" + i, List.of("a", "b").get(i % 2));
             mUpstreams.put(upstream.id(), upstream);
+            mListening.put(upstream.address(), upstream);
         }
         for (int i = 0; i < instances; i++) {
             CallScheduler instance =
@@ -105,6 +125,58 @@
         assertThat(lateStarts()).isLessThanOrEqualTo(MAX_LATE_ATTEMPTS);
     }
 
+    /**
+     * The entry of a crashed upstream outlasts its restart under another identifier at the same
+     * address, so that losses are confirmed late.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void aCallWhoseUpstreamsReturnUnderOtherIdentifiersSoonReachesNoUpstream(long seed) {
+        mRenamed = true;
+        createFleet(9, 3, seed);
+        Random random = new Random(seed);
+        for (long now = 0; now < 40 * SECOND; now += STEP) {
+            if (random.nextInt(100) == 0) {
+                offer(random, RequestKind.IDEMPOTENT_CALL, CRASHING, now);
+            }
+            if (random.nextInt(4) == 0) {
+                offer(random, RequestKind.SINGLE_CALL, SOUND, now);
+            }
+            advance(now);
+        }
+
+        assertThat(mCrashes).hasSizeGreaterThanOrEqualTo(CRASHES_TO_DETECT);
+        assertThat(lateStarts()).isLessThanOrEqualTo(MAX_LATE_ATTEMPTS);
+    }
+
+    /**
+     * The list shows the end of an upstream seconds later. Without a report of it, each instance
+     * would lose upstreams of its own before it refuses the call.
+     */
+    @Test
+    void aLossThatIsConfirmedLateIsReportedToOtherInstances() {
+        createFleet(1, 3, 1);
+        CallScheduler instance = mInstances.getFirst();
+        long id = offer(0, RequestKind.SINGLE_CALL, CRASHING, 0);
+        Upstream lost = Samples.starts(instance.advance(0)).getFirst().upstream();
+        instance.recordAttemptEnd(id, 1, AttemptEnd.RESET, MS);
+        long listed = ENTRY_LIFETIME + LIST_DELAY;
+        mUpstreams.remove(lost.id());
+        instance.replaceUpstreams(mUpstreams.values(), listed);
+        instance.advance(listed);
+
+        assertThat(instance.load(listed).suspects())
+                .extracting(SuspectEntry::fingerprint)
+                .contains(CRASHING);
+        assertThat(instance.takeSettledLosses())
+                .containsExactly(
+                        new SettledLoss(
+                                lost.process(),
+                                "request-" + id,
+                                SettledLoss.Sign.ENDED,
+                                Duration.ofNanos(listed - MS)));
+    }
+
     /** A route may allow many attempts, and each one costs an upstream and the calls there. */
     @Test
     void oneCallCrashesAtMostTwoUpstreams() {
@@ -218,7 +290,7 @@
     private void end(Attempt attempt, long now) {
         long id = attempt.start().work().id();
         if (CRASHING.equals(attempt.start().work().content())) {
-            crash(attempt.start().upstream().id(), now);
+            crash(attempt.start().upstream(), now);
             return;
         }
         mRunning.remove(id);
@@ -227,9 +299,14 @@
                 .recordAttemptEnd(id, attempt.start().attempt(), AttemptEnd.SUCCEEDED, now);
     }
 
-    private void crash(String upstream, long now) {
+    private void crash(Upstream crashed, long now) {
+        String upstream = crashed.id();
         mCrashes.add(now);
-        mRestarts.put(upstream, now + RESTART);
+        mListening.remove(crashed.address());
+        mRestarts.put(upstream, now + (mRenamed ? RENAMED_RESTART : RESTART));
+        if (mRenamed) {
+            mRemovals.put(upstream, now + ENTRY_LIFETIME + LIST_DELAY);
+        }
         for (Attempt attempt : List.copyOf(mRunning.values())) {
             if (attempt.start().upstream().id().equals(upstream)) {
                 long id = attempt.start().work().id();
@@ -242,20 +319,52 @@
     }
 
     private void restartUpstreams(long now) {
+        for (String id : takeDue(mRestarts, now)) {
+            Upstream old = mUpstreams.get(id);
+            Upstream started = mRenamed ? renamed(old) : Samples.restarted(old, now);
+            mListening.put(old.address(), started);
+            mListings.put(old.address(), now + (mRenamed ? LIST_DELAY : 0));
+        }
         boolean changed = false;
-        for (Map.Entry<String, Long> restart : Map.copyOf(mRestarts).entrySet()) {
-            if (now >= restart.getValue()) {
-                mRestarts.remove(restart.getKey());
-                Upstream old = mUpstreams.get(restart.getKey());
-                mUpstreams.put(old.id(), Samples.restarted(old, now));
+        for (String address : takeDue(mListings, now)) {
+            Upstream listening = mListening.get(address);
+            if (listening != null) {
+                mUpstreams.put(listening.id(), listening);
                 changed = true;
             }
         }
+        for (String id : takeDue(mRemovals, now)) {
+            mUpstreams.remove(id);
+            changed = true;
+        }
         if (changed) {
             mInstances.forEach(instance -> instance.replaceUpstreams(mUpstreams.values(), now));
         }
     }
 
+    private static List<String> takeDue(Map<String, Long> times, long now) {
+        List<String> due = new ArrayList<>();
+        times.forEach(
+                (key, at) -> {
+                    if (now >= at) {
+                        due.add(key);
+                    }
+                });
+        due.forEach(times::remove);
+        return due;
+    }
+
+    private Upstream renamed(Upstream old) {
+        return new Upstream(
+                "desk-" + ++mNextUpstream,
+                1,
+                old.service(),
+                old.address(),
+                old.zone(),
+                old.slots(),
+                false);
+    }
+
     private void executeDecisions(int index, long now) {
         CallScheduler instance = mInstances.get(index);
         boolean refused = true;
@@ -272,11 +381,15 @@
 
     /** Sends an attempt, and returns whether its upstream is down. */
     private boolean start(int index, Decision.Start start, long now) {
-        if (mRestarts.containsKey(start.upstream().id())) {
+        Upstream listening = mListening.get(start.upstream().address());
+        if (listening == null || !listening.isSameProcess(start.upstream())) {
             mInstances
                     .get(index)
                     .recordAttemptEnd(
-                            start.work().id(), start.attempt(), AttemptEnd.NOT_LISTENING, now);
+                            start.work().id(),
+                            start.attempt(),
+                            listening == null ? AttemptEnd.NOT_LISTENING : AttemptEnd.MISDIRECTED,
+                            now);
             return true;
         }
         boolean crashes = CRASHING.equals(start.work().content());
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/policy/suspect/SuspectTableTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/policy/suspect/SuspectTableTest.java
@@ -177,7 +177,7 @@
     void partsWithTheSameLossesAreOnlyHeldAgainstRequestsWithBoth() {
         SuspectTable table = table();
         for (int i = 0; i < 3; i++) {
-            table.recordLoss(request(i), List.of(PART, OTHER_PART), "e" + i, (1 + i) * SECOND);
+            table.recordLoss(request(i), List.of(PART, OTHER_PART), "e" + i, (1 + i) * SECOND, (1 + i) * SECOND);
         }
 
         assertThat(verdict(table, OTHER_PART, 6 * SECOND)).isEqualTo(Verdict.UNKNOWN);
@@ -238,7 +238,7 @@
 
     private static void lose(
             SuspectTable table, Fingerprint request, Fingerprint part, String engine, long at) {
-        table.recordLoss(request, List.of(part), engine, at);
+        table.recordLoss(request, List.of(part), engine, at, at);
     }
 
     /** Returns the verdict on a new request with a part. */
