Confirm a loss when a later process is listed at the address

Cause: upstreams that crash are started again under another identifier at the same address, one or two seconds later. Their old entries stay on the list until their heartbeats are missed, so a loss remained unconfirmed for up to 4.4 s unless a connection happened to be refused.

Change: an entry with a later start at the same address shows that the process before it has ended. Calls may still be sent to the older entry: an answer from there shows that the other entry is not valid, and withdraws the sign.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -83,11 +83,18 @@
     @Override
     public void replaceUpstreams(Collection<Upstream> upstreams, long nowNanos) {
         Map<String, CallTarget> before = new HashMap<>(mTargets);
+        Map<String, Long> newest = new HashMap<>();
+        upstreams.forEach(
+                upstream -> newest.merge(upstream.address(), upstream.incarnation(), Math::max));
         mTargets.clear();
         for (Upstream upstream : upstreams) {
             CallTarget known = before.get(upstream.id());
             if (known != null && known.upstream().isSameProcess(upstream)) {
                 known.upstream(upstream);
+                long incarnation = upstream.incarnation();
+                if (newest.getOrDefault(upstream.address(), incarnation) > incarnation) {
+                    known.recordSuperseded();
+                }
                 before.remove(upstream.id());
                 mTargets.put(upstream.id(), known);
             } else {
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
@@ -33,6 +33,7 @@
     private long mReportedAt;
     private boolean mReplaced;
     private boolean mNotListening;
+    private boolean mSuperseded;
     private @Nullable Long mAnsweredAt;
 
     CallTarget(Upstream upstream) {
@@ -60,7 +61,15 @@
 
     @Override
     public boolean hasEnded() {
-        return mReplaced || mNotListening;
+        return mReplaced || mNotListening || mSuperseded;
+    }
+
+    /**
+     * Records that a process that was started later is listed at the same address. The entry of a
+     * process that has crashed remains listed until its heartbeats are missed.
+     */
+    void recordSuperseded() {
+        mSuperseded = true;
     }
 
     @Override
@@ -88,6 +97,8 @@
             case SUCCEEDED, ANSWERED_ERROR, REJECTED -> {
                 mReachability.recordSuccess();
                 mNotListening = false;
+                // The other entry at the address is not valid.
+                mSuperseded = false;
                 mAnsweredAt = nowNanos;
             }
             case NOT_LISTENING, CRASHED -> {
