Accept unframed answers only after the upstream's end

Callers got the begin of an answer as the whole one, framed with a length, when an upstream answered without a length and without chunks before it had read the request and then reset the connection.

Cause: the decoder ends such a body whenever its channel becomes inactive, and UpstreamConnection took it as complete unless an exception had been seen. A failed write closes the channel without one, and so do our own close and the end of the event loop (an immediate stop of the instance).

The channel now allows half closure, so that the end of the upstream's output is an event of its own (ChannelInputShutdownEvent). It is noted before the decoder sees it, and a body without framing is complete only after it; in all other cases the channel's end fails the request as BROKEN. The connection closes the channel on the event, since Netty no longer does so. 204 and 304 have no body and need no end; their connections are now kept.

UpstreamConnectionTest.aBodyWithoutALengthEndsWithItsConnection closed the channel on our side and expected a complete answer, which is the fault. It now fires the event of the upstream's end; its former form is aBodyWithoutALengthWhoseChannelIsClosedByUsIsBroken, which expects BROKEN.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamClient.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamClient.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
@@ -189,11 +190,14 @@
     }
 
     static void initPipeline(Channel channel, UpstreamConnection connection) {
+        // Without it, the end of the upstream's output closes the channel and can't be told from
+        // other reasons to close it. UpstreamConnection closes the channel then.
+        channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
         ResponseDecoder decoder = new ResponseDecoder(connection);
         connection.unparsedBytes(decoder::hasUnparsedBytes);
         channel.pipeline()
                 .addLast(new HttpRequestEncoder())
-                .addLast(new IdleInputDetector(connection))
+                .addLast(new InputDetector(connection))
                 .addLast(decoder)
                 .addLast(connection);
     }
@@ -224,12 +228,13 @@
 
     /**
      * Closes an idle connection when bytes arrive on it. They would otherwise be parsed as the
-     * begin of the response to the next request.
+     * begin of the response to the next request. Also reports the end of the input before the
+     * decoder handles it.
      */
-    private static final class IdleInputDetector extends ChannelInboundHandlerAdapter {
+    private static final class InputDetector extends ChannelInboundHandlerAdapter {
         private final UpstreamConnection mConnection;
 
-        IdleInputDetector(UpstreamConnection connection) {
+        InputDetector(UpstreamConnection connection) {
             mConnection = connection;
         }
 
@@ -242,6 +247,14 @@
                 context.fireChannelRead(message);
             }
         }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event == ChannelInputShutdownEvent.INSTANCE) {
+                mConnection.inputEnded();
+            }
+            context.fireUserEventTriggered(event);
+        }
     }
 
     /** A call whose connection is being established. */
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
@@ -5,11 +5,13 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -49,6 +51,14 @@
     private boolean mReused;
     private boolean mReusable;
     private boolean mFramed;
+
+    /**
+     * Whether the upstream has ended its output in order. A failed write, the end of the event loop
+     * and {@link #close} end the channel without an exception, so that the absence of an error does
+     * not show it.
+     */
+    private boolean mInputEnded;
+
     private int mSkipped;
     private int mSkippedBytes;
     private @Nullable Throwable mError;
@@ -88,6 +98,11 @@
         mUnparsedBytes = unparsedBytes;
     }
 
+    /** Called when the upstream has ended its output, before the decoder ends a body by that. */
+    void inputEnded() {
+        mInputEnded = true;
+    }
+
     /** Returns whether no request is in progress, so that no byte is expected. */
     boolean isIdle() {
         return mPhase == Phase.NONE;
@@ -189,13 +204,38 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        endConnection();
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        // Nothing more can arrive. The connection would otherwise stay open for the other
+        // direction.
+        if (event == ChannelInputShutdownEvent.INSTANCE) {
+            endConnection();
+        }
+    }
+
+    private void endConnection() {
         mClient.removeIdle(this);
         if (mPhase == Phase.NONE) {
+            close();
             return;
         }
         boolean responseStarted = mPhase != Phase.HEAD;
-        String cause = mError == null ? "closed by the upstream" : String.valueOf(mError);
-        fail(mReused && !responseStarted ? Failure.STALE : Failure.BROKEN, cause);
+        fail(mReused && !responseStarted ? Failure.STALE : Failure.BROKEN, endCause());
+    }
+
+    private String endCause() {
+        if (mError != null) {
+            return String.valueOf(mError);
+        }
+        if (mInputEnded) {
+            return "closed by the upstream";
+        }
+        ChannelFuture written = mWritten;
+        Throwable writeError = written == null ? null : written.cause();
+        return writeError == null ? "closed by this instance" : String.valueOf(writeError);
     }
 
     @Override
@@ -272,8 +312,11 @@
         }
     }
 
+    /** Returns whether the response itself tells its end, so that the connection need not. */
     private boolean isFramed(HttpResponse response) {
         return isHeadRequest()
+                || response.status().equals(HttpResponseStatus.NO_CONTENT)
+                || response.status().equals(HttpResponseStatus.NOT_MODIFIED)
                 || HttpUtil.isContentLengthSet(response)
                 || HttpUtil.isTransferEncodingChunked(response);
     }
@@ -294,7 +337,9 @@
         if (listener != null && content.content().isReadable()) {
             listener.onBody(ByteBufUtil.getBytes(content.content()));
         }
-        if (content instanceof LastHttpContent) {
+        // The decoder also ends a body without framing when the channel is closed for another
+        // reason.
+        if (content instanceof LastHttpContent && (mFramed || mInputEnded)) {
             complete();
         }
     }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -16,6 +17,8 @@
 import org.gentianwalk.gateway.wire.ResponseHead;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against responses that are assigned to the wrong request or are truncated unnoticed. */
 class UpstreamConnectionTest {
@@ -141,11 +144,35 @@
 
     @Test
     void aBodyWithoutALengthEndsWithItsConnection() {
+        send("one", false);
+        answer("HTTP/1.1 200 OK\r\nx-id: one\r\nx-signed: 1\r\n\r\nhello");
+        mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+
+        assertThat(mListener.mComplete).isTrue();
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    /** The upstream has not ended it; a failed write closes the channel in the same way. */
+    @Test
+    void aBodyWithoutALengthWhoseChannelIsClosedByUsIsBroken() {
         send("one", false);
         answer("HTTP/1.1 200 OK\r\nx-id: one\r\nx-signed: 1\r\n\r\nhello");
         mChannel.close();
 
+        assertThat(mListener.mComplete).isFalse();
+        assertThat(mListener.mFailure).isEqualTo(Failure.BROKEN);
+    }
+
+    /** They have no body, whatever their headers state. */
+    @ParameterizedTest
+    @ValueSource(strings = {"204 No Content", "304 Not Modified"})
+    void aResponseThatCannotHaveABodyIsCompleteAtOnce(String status) {
+        send("one", false);
+        answer("HTTP/1.1 " + status + "\r\nx-id: one\r\nx-signed: 1\r\n\r\n");
+
         assertThat(mListener.mComplete).isTrue();
+        assertThat(mListener.mHead.status()).isEqualTo(Integer.parseInt(status.substring(0, 3)));
+        assertThat(mListener.mBody.toString()).isEmpty();
     }
 
     @Test
