Reject answers with another transfer coding than chunked

A caller got the coded bytes of the body as a whole answer, for example gzip data or the raw chunks of "chunked, gzip", without the header that names the coding: Netty's decoder looks for "chunked" only and reads everything else up to the end of the connection, and Transfer-Encoding is removed as a hop-by-hop header. No request accepts another coding, so such an answer now ends the attempt as GARBLED, also "identity", which HTTP/1.1 no longer has.

Evidence: UpstreamConnectionTest.anotherTransferCodingThanChunkedIsNoValidResponse failed for all 10 codings without the fix ([1] gzip: Expecting value to be false but was true). It passes now, and chunks are still accepted (chunksAreAccepted). Repeated, negative, signed, malformed and too large lengths were already refused by the decoder; anAmbiguousLengthIsNoValidResponse records it.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -19,6 +20,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.gentianwalk.gateway.http.UpstreamListener.Failure;
@@ -268,7 +270,7 @@
             close();
             return;
         }
-        if (response.decoderResult().isFailure()) {
+        if (response.decoderResult().isFailure() || !isCodingSupported(response)) {
             fail(Failure.GARBLED, "the response is not valid HTTP/1.1");
             return;
         }
@@ -312,6 +314,18 @@
         }
     }
 
+    /**
+     * Returns whether the body is not coded or in chunks only. Requests accept no other coding (RFC
+     * 9110, 10.1.4), and the header that names one is not forwarded.
+     */
+    private static boolean isCodingSupported(HttpResponse response) {
+        List<String> codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        return codings.isEmpty()
+                || codings.size() == 1
+                        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
+                                codings.getFirst().trim());
+    }
+
     /** Returns whether the response itself tells its end, so that the connection need not. */
     private boolean isFramed(HttpResponse response) {
         return isHeadRequest()
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
@@ -185,6 +185,77 @@
         assertThat(mListener.mFailure).isEqualTo(Failure.BROKEN);
     }
 
+    /** The end of the body would be a guess, and the caller would get it as a whole one. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length: 5\r\nContent-Length: 3",
+                "Content-Length: 3\r\nContent-Length: 5",
+                "Content-Length: 5, 3",
+                "Content-Length: -1",
+                "Content-Length: +5",
+                "Content-Length: 0x5",
+                "Content-Length: 5 5",
+                "Content-Length: 5;",
+                "Content-Length: five",
+                "Content-Length:",
+                "Content-Length: 99999999999999999999",
+                "Content-Length 5"
+            })
+    void anAmbiguousLengthIsNoValidResponse(String length) {
+        send("one", false);
+        answer("HTTP/1.1 200 OK\r\nx-id: one\r\nx-signed: 1\r\n" + length + "\r\n\r\nhello");
+        mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+
+        assertThat(mListener.mComplete).isFalse();
+        assertThat(mListener.mHead).isNull();
+        assertThat(mListener.mFailure).isEqualTo(Failure.GARBLED);
+    }
+
+    /**
+     * Requests accept no coding but chunked. The coded bytes would reach the caller as the body,
+     * without the header that names the coding.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "gzip",
+                "identity",
+                "gzip, chunked",
+                "chunked, gzip",
+                "chunked, chunked",
+                "xchunked",
+                "chunked\r\nTransfer-Encoding: gzip",
+                "gzip\r\nTransfer-Encoding: chunked",
+                "gzip\r\nContent-Length: 5",
+                ""
+            })
+    void anotherTransferCodingThanChunkedIsNoValidResponse(String coding) {
+        send("one", false);
+        answer(
+                "HTTP/1.1 200 OK\r\nx-id: one\r\nx-signed: 1\r\nTransfer-Encoding: "
+                        + coding
+                        + "\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+        mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+
+        assertThat(mListener.mComplete).isFalse();
+        assertThat(mListener.mHead).isNull();
+        assertThat(mListener.mFailure).isEqualTo(Failure.GARBLED);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"chunked", "Chunked", " chunked "})
+    void chunksAreAccepted(String coding) {
+        send("one", false);
+        answer(
+                "HTTP/1.1 200 OK\r\nx-id: one\r\nx-signed: 1\r\nTransfer-Encoding: "
+                        + coding
+                        + "\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+
+        assertThat(mListener.mBody.toString()).isEqualTo("hello");
+        assertThat(mListener.mComplete).isTrue();
+    }
+
     @Test
     void aReusedConnectionThatBreaksBeforeAnyAnswerIsStale() {
         send("one", true);
