Fail a request when its upstream switches protocols

An answer with 101 was skipped like an interim one. The decoder parses nothing after it, so the request waited until its deadline or the end of the connection. It now fails at once as GARBLED.

Evidence: UpstreamConnectionTest.aSwitchOfProtocolsIsNoValidResponse without the fix: expected: GARBLED but was: BROKEN (only because the connection ended). Interim answers are not taken for the answer: anInterimResponseIsNotTheAnswer (held before).

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
@@ -275,6 +275,11 @@
             return;
         }
         ResponseHead head = mClient.dialect().parseResponseHead(response);
+        if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            // No request asks for it. The decoder parses nothing that follows.
+            fail(Failure.GARBLED, "the upstream switches protocols");
+            return;
+        }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             countSkipped();
             return;
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
@@ -256,6 +256,33 @@
         assertThat(mListener.mComplete).isTrue();
     }
 
+    /** No request asks for it, and what follows is not HTTP. */
+    @Test
+    void aSwitchOfProtocolsIsNoValidResponse() {
+        send("one", false);
+        answer(
+                "HTTP/1.1 101 Switching Protocols\r\nx-id: one\r\nx-signed: 1\r\n"
+                        + "Connection: upgrade\r\nUpgrade: websocket\r\n\r\nhello");
+        mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+
+        assertThat(mListener.mComplete).isFalse();
+        assertThat(mListener.mFailure).isEqualTo(Failure.GARBLED);
+    }
+
+    /** The caller would get a success without a body as the answer to its request. */
+    @ParameterizedTest
+    @ValueSource(strings = {"100 Continue", "102 Processing", "103 Early Hints", "199 Other"})
+    void anInterimResponseIsNotTheAnswer(String status) {
+        send("one", false);
+        answer("HTTP/1.1 " + status + "\r\nx-id: one\r\nx-signed: 1\r\n\r\n");
+        assertThat(mListener.mHead).isNull();
+        mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+
+        assertThat(mListener.mComplete).isFalse();
+        assertThat(mListener.mHead).isNull();
+        assertThat(mListener.mFailure).isEqualTo(Failure.BROKEN);
+    }
+
     @Test
     void aReusedConnectionThatBreaksBeforeAnyAnswerIsStale() {
         send("one", true);
