Report a response with a cut head as broken

An upstream that ends in the middle of the head of its answer was reported as GARBLED when its kernel ended the connection in order, and as BROKEN after a reset or a cut in the status line. A crash in the middle of a head therefore did not count as the loss of a process (AttemptEnd.LOST, not RESET). All cut points are now BROKEN. No cut head was ever delivered.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -270,6 +271,10 @@
             close();
             return;
         }
+        if (response.decoderResult().cause() instanceof PrematureChannelClosureException) {
+            // The head is cut; endConnection follows and reports the end of the connection.
+            return;
+        }
         if (response.decoderResult().isFailure() || !isCodingSupported(response)) {
             fail(Failure.GARBLED, "the response is not valid HTTP/1.1");
             return;
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
@@ -283,6 +283,17 @@
         assertThat(mListener.mFailure).isEqualTo(Failure.BROKEN);
     }
 
+    /** A failed write ends the channel in the same way. */
+    @Test
+    void aHeadThatIsCutByOurOwnCloseIsBroken() {
+        send("one", false);
+        answer("HTTP/1.1 200 OK\r\nx-id: one\r\nx-signed: 1\r\nConte");
+        mChannel.close();
+
+        assertThat(mListener.mHead).isNull();
+        assertThat(mListener.mFailure).isEqualTo(Failure.BROKEN);
+    }
+
     @Test
     void aReusedConnectionThatBreaksBeforeAnyAnswerIsStale() {
         send("one", true);
