Send a request again only if no byte of an answer came

An idempotent request on a reused connection that broke in the middle of an answer's head, after an interim answer, or after the answer to another request was sent to the same upstream once more, although docs/platform.md allows that only before any byte of an answer. The upstream may have ended due to this request. The connection judged by its phase, which is still HEAD then; it now notes received bytes.

Evidence: UpstreamConnectionTest.aReusedConnectionThatBreaksAfterTheFirstBytesIsNotStale failed in all four cases without the fix ([1] H: expected: BROKEN but was: STALE).

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamClient.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamClient.java
@@ -228,8 +228,8 @@
 
     /**
      * Closes an idle connection when bytes arrive on it. They would otherwise be parsed as the
-     * begin of the response to the next request. Also reports the end of the input before the
-     * decoder handles it.
+     * begin of the response to the next request. Also reports input and its end before the
+     * decoder handles them.
      */
     private static final class InputDetector extends ChannelInboundHandlerAdapter {
         private final UpstreamConnection mConnection;
@@ -244,6 +244,7 @@
                 ReferenceCountUtil.release(message);
                 context.close();
             } else {
+                mConnection.bytesReceived();
                 context.fireChannelRead(message);
             }
         }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
@@ -62,6 +62,7 @@
      */
     private boolean mInputEnded;
 
+    private boolean mBytesReceived;
     private int mSkipped;
     private int mSkippedBytes;
     private @Nullable Throwable mError;
@@ -101,6 +102,11 @@
         mUnparsedBytes = unparsedBytes;
     }
 
+    /** Called when bytes have arrived, before the decoder parses them. */
+    void bytesReceived() {
+        mBytesReceived = true;
+    }
+
     /** Called when the upstream has ended its output, before the decoder ends a body by that. */
     void inputEnded() {
         mInputEnded = true;
@@ -149,6 +155,7 @@
         mReused = reused;
         mReusable = true;
         mHead = null;
+        mBytesReceived = false;
         mSkipped = 0;
         mSkippedBytes = 0;
         mPhase = Phase.HEAD;
@@ -225,8 +232,7 @@
             close();
             return;
         }
-        boolean responseStarted = mPhase != Phase.HEAD;
-        fail(mReused && !responseStarted ? Failure.STALE : Failure.BROKEN, endCause());
+        fail(mReused && !mBytesReceived ? Failure.STALE : Failure.BROKEN, endCause());
     }
 
     private String endCause() {
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
@@ -302,6 +302,23 @@
         assertThat(mListener.mFailure).isEqualTo(Failure.STALE);
     }
 
+    /** A stale one is sent again to the same upstream, which may have ended due to the request. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "H",
+                "HTTP/1.1 200 OK\r\nx-id: one\r\n",
+                "HTTP/1.1 102 Processing\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nx-id: other\r\nContent-Length: 2\r\n\r\nhi"
+            })
+    void aReusedConnectionThatBreaksAfterTheFirstBytesIsNotStale(String bytes) {
+        send("one", true);
+        answer(bytes);
+        mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+
+        assertThat(mListener.mFailure).isEqualTo(Failure.BROKEN);
+    }
+
     @Test
     void aNewConnectionThatBreaksIsNotStale() {
         send("one", false);
