End no stream with an attempt that is behind it

When an engine is lost after event 3 and the next one begins anew and ends in order after event 2, the caller's stream was ended as complete with the events 1 to 3. The events of the next attempt were dropped as known, and its end was taken for that of the stream, although it belongs to another, shorter one. An attempt whose last event number is before that of the stream now ends as LOST. An attempt that ends without any event, or with the last known one, still ends the stream: the first engine may have been lost between its last event and the end.

Evidence: ExchangeTest.aStreamIsNotEndedByAnAttemptThatEndsBeforeItsLastEvent without the fix: actual: ["ended 1 RESET", "delivered 2"], expected ["ended 1 RESET", "ended 2 LOST"]. Three further tests held before: the late end of a cancelled attempt, heads and bodies of two attempts in turns, an attempt that has no further event.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamClient.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamClient.java
@@ -228,8 +228,8 @@
 
     /**
      * Closes an idle connection when bytes arrive on it. They would otherwise be parsed as the
-     * begin of the response to the next request. Also reports input and its end before the
-     * decoder handles them.
+     * begin of the response to the next request. Also reports input and its end before the decoder
+     * handles them.
      */
     private static final class InputDetector extends ChannelInboundHandlerAdapter {
         private final UpstreamConnection mConnection;
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -234,6 +234,9 @@
         /** Whether a part of this attempt's response, other than a stream, was forwarded. */
         private boolean mBegun;
 
+        /** Highest number of an event of this attempt, also of one that is not forwarded; or 0. */
+        private long mLastNumber;
+
         private long mLastOutputAt;
 
         Attempt(Decision.Start start) {
@@ -446,6 +449,7 @@
         private void forward(StreamEvent event) {
             long number = event.number();
             if (number != StreamEvent.UNNUMBERED) {
+                mLastNumber = Math.max(mLastNumber, number);
                 if (number <= mLastEvent) {
                     return;
                 }
@@ -488,6 +492,18 @@
                 endAttempt(this, AttemptEnd.LOST, "the stream ends within an event");
                 return;
             }
+            if (mLastNumber > 0 && mLastNumber < mLastEvent) {
+                // The upstream has begun anew instead of continuing, and its stream is a shorter
+                // one.
+                endAttempt(
+                        this,
+                        AttemptEnd.LOST,
+                        "the stream ends with event "
+                                + mLastNumber
+                                + " before event "
+                                + mLastEvent);
+                return;
+            }
             byte[] remainder = mSplitter.remainder();
             sendHead();
             if (remainder.length > 0) {
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -443,6 +443,70 @@
         assertThat(mCaller.mLog).containsExactly("begin 200", "part id: 1\n\n");
     }
 
+    /** An engine that starts anew and ends early has another, shorter stream. */
+    @Test
+    void aStreamIsNotEndedByAnAttemptThatEndsBeforeItsLastEvent() {
+        Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 0);
+        start(exchange, 1, FIRST);
+        events(0, "id: 1\n\nid: 2\n\nid: 3\n\n");
+        mSent.get(0).listener().onFailure(Failure.BROKEN, "reset");
+        start(exchange, 2, SECOND);
+        events(1, "id: 1\n\nid: 2\n\n");
+        mSent.get(1).listener().onComplete();
+
+        assertThat(mControl.mLog).containsExactly("ended 1 RESET", "ended 2 LOST");
+        assertThat(mCaller.mLog).doesNotContain("end");
+    }
+
+    /** The first engine may have been lost after the last event and before the end. */
+    @Test
+    void aStreamIsEndedByAnAttemptThatHasNoFurtherEvent() {
+        Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 0);
+        start(exchange, 1, FIRST);
+        events(0, "id: 1\n\nid: 2\n\n");
+        mSent.get(0).listener().onFailure(Failure.BROKEN, "reset");
+        start(exchange, 2, SECOND);
+        events(1, "id: 2\n\n");
+        mSent.get(1).listener().onComplete();
+
+        assertThat(mControl.mLog).containsExactly("ended 1 RESET", "delivered 2");
+    }
+
+    /** The end of a cancelled attempt, which arrives late, is not that of the next one. */
+    @Test
+    void theEndOfAnEarlierAttemptDoesNotEndAStream() {
+        Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 0);
+        start(exchange, 1, FIRST);
+        events(0, "id: 1\n\n");
+        start(exchange, 2, SECOND);
+        mSent.get(0).listener().onComplete();
+        assertThat(mCaller.mLog).doesNotContain("end");
+        mSent.get(0).listener().onFailure(Failure.BROKEN, "reset");
+        events(1, "id: 2\n\n");
+        mSent.get(1).listener().onComplete();
+
+        assertThat(mControl.mLog).containsExactly("delivered 2");
+        assertThat(mCaller.mLog)
+                .containsExactly("begin 200", "part id: 1\n\n", "part id: 2\n\n", "end");
+    }
+
+    /** Each attempt has a head and a body of its own, also when they arrive in turns. */
+    @Test
+    void theHeadOfAnEarlierAttemptIsNotUsedForTheBodyOfTheNext() {
+        Exchange exchange = exchange(RequestKind.IDEMPOTENT_CALL, 0);
+        start(exchange, 1, FIRST);
+        start(exchange, 2, SECOND);
+        mSent.get(1).listener().onHead(head(404, true, false, false), new DefaultHttpHeaders());
+        mSent.get(0).listener().onHead(head(200, true, false, false), new DefaultHttpHeaders());
+        mSent.get(0).listener().onBody("first".getBytes(StandardCharsets.UTF_8));
+        mSent.get(1).listener().onBody("second".getBytes(StandardCharsets.UTF_8));
+        mSent.get(0).listener().onComplete();
+        mSent.get(1).listener().onComplete();
+        exchange.finish(finish(Ending.UPSTREAM_ERROR));
+
+        assertThat(mCaller.mLog).containsExactly("answer 404 second");
+    }
+
     /** Empty lines after the last event belong to no event. */
     @Test
     void emptyLinesAtTheEndDoNotBreakOffAStream() {
