Test cut heads of answers through an instance

BrokenAnswerTest cuts the head of the answer to a call after each byte, by the end of the output and by a reset, and that of a stream at six places with HTTP/1.0 and 1.1 and after an earlier 100. No fault was found: each caller gets a complete error.

--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/BrokenAnswerTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/BrokenAnswerTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -115,6 +117,85 @@
         }
     }
 
+    /**
+     * The headers that arrived must not make an answer. CutHeadTest tries further forms of the head
+     * without an instance.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void anAnswerToACallWhoseHeadIsCutIsAnError(boolean reset) throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nx-id: %s\r\nx-signed: 1\r\nContent-Length: 512\r\n\r\n";
+        for (int cut = 0; cut < head.formatted("h000").length(); cut++) {
+            String id = "h%03d".formatted(cut);
+            String begin = head.formatted(id).substring(0, cut);
+            script((request, connection) -> cut(request, connection, begin, reset));
+            try (RawCaller caller = sInstance.caller()) {
+                RawCaller.Response response = caller.call("/unsafe/a", id);
+
+                assertThat(response.status()).as("cut after byte %d", cut).isEqualTo(502);
+                assertThat(response.complete()).isTrue();
+            }
+        }
+    }
+
+    /** The only engine cuts each answer, so that no other one can answer. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aStreamWhoseHeadIsCutIsAnError(boolean reset) throws Exception {
+        List<String> begins =
+                List.of(
+                        "HTTP/1.1 2",
+                        "HTTP/1.1 200 OK\r\n",
+                        "HTTP/1.1 200 OK\r\nx-id: %s\r\nx-signed: 1\r\nx-eve",
+                        "HTTP/1.1 200 OK\r\nx-id: %s\r\nx-signed: 1\r\nx-events: 1\r\n",
+                        "HTTP/1.0 200 OK\r\nx-id: %s\r\nx-signed: 1\r\nx-events: 1\r\n\r",
+                        "HTTP/1.1 100 Continue\r\n\r\n");
+        String ids = "cut-stream-" + reset + "-";
+        sWriter.script(
+                (request, connection) -> {
+                    String begin = "";
+                    if (request.id().startsWith(ids)) {
+                        begin = begins.get(Integer.parseInt(request.id().substring(ids.length())));
+                    }
+                    cut(request, connection, begin.formatted(request.id()), reset);
+                });
+        List<RawCaller> callers = new ArrayList<>();
+        try {
+            for (int i = 0; i < begins.size(); i++) {
+                callers.add(sInstance.caller());
+                callers.getLast().send("/stream/a", ids + i);
+            }
+            for (int i = 0; i < begins.size(); i++) {
+                RawCaller.Response response = callers.get(i).read();
+
+                assertThat(response.status()).as(begins.get(i)).isGreaterThanOrEqualTo(500);
+                assertThat(response.complete()).isTrue();
+            }
+        } finally {
+            for (RawCaller caller : callers) {
+                caller.close();
+            }
+        }
+    }
+
+    private static void cut(
+            ScriptedUpstream.Request request,
+            ScriptedUpstream.Connection connection,
+            String begin,
+            boolean reset)
+            throws Exception {
+        if (request.id().isEmpty()) {
+            connection.write(ScriptedUpstream.success(request, "alive"));
+            return;
+        }
+        connection.write(begin);
+        if (reset) {
+            connection.reset();
+        } else {
+            connection.socket().close();
+        }
+    }
+
     /** Its first part has been forwarded when it breaks off. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
