--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
@@ -163,6 +163,23 @@
         assertThat(mListener.mFailure).isEqualTo(Failure.BROKEN);
     }
 
+    /** The stated length is that of the body that a GET would have. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 5", "Transfer-Encoding: chunked", "Connection: close"})
+    void aResponseToAHeadRequestIsCompleteAtOnce(String framing) {
+        UpstreamRequest request =
+                new UpstreamRequest(
+                        HttpMethod.HEAD, "/a", DefaultHttpHeaders::new, new byte[0], "one", false);
+        mConnection.send(request, mListener, false);
+        String head = "HTTP/1.1 200 OK\r\nx-id: one\r\nx-signed: 1\r\n" + framing + "\r\n";
+        answer(head);
+        assertThat(mListener.mComplete).as("the head is not complete").isFalse();
+        answer("\r\n");
+
+        assertThat(mListener.mComplete).isTrue();
+        assertThat(mListener.mBody.toString()).isEmpty();
+    }
+
     /** They have no body, whatever their headers state. */
     @ParameterizedTest
     @ValueSource(strings = {"204 No Content", "304 Not Modified"})
