--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
@@ -5,11 +5,15 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -17,6 +21,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.gentianwalk.gateway.http.UpstreamListener.Failure;
@@ -49,6 +54,15 @@
     private boolean mReused;
     private boolean mReusable;
     private boolean mFramed;
+
+    /**
+     * Whether the upstream has ended its output in order. A failed write, the end of the event loop
+     * and {@link #close} end the channel without an exception, so that the absence of an error does
+     * not show it.
+     */
+    private boolean mInputEnded;
+
+    private boolean mBytesReceived;
     private int mSkipped;
     private int mSkippedBytes;
     private @Nullable Throwable mError;
@@ -88,6 +102,16 @@
         mUnparsedBytes = unparsedBytes;
     }
 
+    /** Called when bytes have arrived, before the decoder parses them. */
+    void bytesReceived() {
+        mBytesReceived = true;
+    }
+
+    /** Called when the upstream has ended its output, before the decoder ends a body by that. */
+    void inputEnded() {
+        mInputEnded = true;
+    }
+
     /** Returns whether no request is in progress, so that no byte is expected. */
     boolean isIdle() {
         return mPhase == Phase.NONE;
@@ -131,6 +155,7 @@
         mReused = reused;
         mReusable = true;
         mHead = null;
+        mBytesReceived = false;
         mSkipped = 0;
         mSkippedBytes = 0;
         mPhase = Phase.HEAD;
@@ -189,13 +214,37 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        endConnection();
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        // Nothing more can arrive. The connection would otherwise stay open for the other
+        // direction.
+        if (event == ChannelInputShutdownEvent.INSTANCE) {
+            endConnection();
+        }
+    }
+
+    private void endConnection() {
         mClient.removeIdle(this);
         if (mPhase == Phase.NONE) {
+            close();
             return;
         }
-        boolean responseStarted = mPhase != Phase.HEAD;
-        String cause = mError == null ? "closed by the upstream" : String.valueOf(mError);
-        fail(mReused && !responseStarted ? Failure.STALE : Failure.BROKEN, cause);
+        fail(mReused && !mBytesReceived ? Failure.STALE : Failure.BROKEN, endCause());
+    }
+
+    private String endCause() {
+        if (mError != null) {
+            return String.valueOf(mError);
+        }
+        if (mInputEnded) {
+            return "closed by the upstream";
+        }
+        ChannelFuture written = mWritten;
+        Throwable writeError = written == null ? null : written.cause();
+        return writeError == null ? "closed by this instance" : String.valueOf(writeError);
     }
 
     @Override
@@ -228,11 +277,20 @@
             close();
             return;
         }
-        if (response.decoderResult().isFailure()) {
+        if (response.decoderResult().cause() instanceof PrematureChannelClosureException) {
+            // The head is cut; endConnection follows and reports the end of the connection.
+            return;
+        }
+        if (response.decoderResult().isFailure() || !isCodingSupported(response)) {
             fail(Failure.GARBLED, "the response is not valid HTTP/1.1");
             return;
         }
         ResponseHead head = mClient.dialect().parseResponseHead(response);
+        if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            // No request asks for it. The decoder parses nothing that follows.
+            fail(Failure.GARBLED, "the upstream switches protocols");
+            return;
+        }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             countSkipped();
             return;
@@ -272,8 +330,23 @@
         }
     }
 
+    /**
+     * Returns whether the body is not coded or in chunks only. Requests accept no other coding (RFC
+     * 9110, 10.1.4), and the header that names one is not forwarded.
+     */
+    private static boolean isCodingSupported(HttpResponse response) {
+        List<String> codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        return codings.isEmpty()
+                || codings.size() == 1
+                        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
+                                codings.getFirst().trim());
+    }
+
+    /** Returns whether the response itself tells its end, so that the connection need not. */
     private boolean isFramed(HttpResponse response) {
         return isHeadRequest()
+                || response.status().equals(HttpResponseStatus.NO_CONTENT)
+                || response.status().equals(HttpResponseStatus.NOT_MODIFIED)
                 || HttpUtil.isContentLengthSet(response)
                 || HttpUtil.isTransferEncodingChunked(response);
     }
@@ -294,7 +367,9 @@
         if (listener != null && content.content().isReadable()) {
             listener.onBody(ByteBufUtil.getBytes(content.content()));
         }
-        if (content instanceof LastHttpContent) {
+        // The decoder also ends a body without framing when the channel is closed for another
+        // reason.
+        if (content instanceof LastHttpContent && (mFramed || mInputEnded)) {
             complete();
         }
     }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -16,6 +17,8 @@
 import org.gentianwalk.gateway.wire.ResponseHead;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against responses that are assigned to the wrong request or are truncated unnoticed. */
 class UpstreamConnectionTest {
@@ -141,11 +144,52 @@
 
     @Test
     void aBodyWithoutALengthEndsWithItsConnection() {
+        send("one", false);
+        answer("HTTP/1.1 200 OK\r\nx-id: one\r\nx-signed: 1\r\n\r\nhello");
+        mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+
+        assertThat(mListener.mComplete).isTrue();
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    /** The upstream has not ended it; a failed write closes the channel in the same way. */
+    @Test
+    void aBodyWithoutALengthWhoseChannelIsClosedByUsIsBroken() {
         send("one", false);
         answer("HTTP/1.1 200 OK\r\nx-id: one\r\nx-signed: 1\r\n\r\nhello");
         mChannel.close();
 
+        assertThat(mListener.mComplete).isFalse();
+        assertThat(mListener.mFailure).isEqualTo(Failure.BROKEN);
+    }
+
+    /** The stated length is that of the body that a GET would have. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 5", "Transfer-Encoding: chunked", "Connection: close"})
+    void aResponseToAHeadRequestIsCompleteAtOnce(String framing) {
+        UpstreamRequest request =
+                new UpstreamRequest(
+                        HttpMethod.HEAD, "/a", DefaultHttpHeaders::new, new byte[0], "one", false);
+        mConnection.send(request, mListener, false);
+        String head = "HTTP/1.1 200 OK\r\nx-id: one\r\nx-signed: 1\r\n" + framing + "\r\n";
+        answer(head);
+        assertThat(mListener.mComplete).as("the head is not complete").isFalse();
+        answer("\r\n");
+
+        assertThat(mListener.mComplete).isTrue();
+        assertThat(mListener.mBody.toString()).isEmpty();
+    }
+
+    /** They have no body, whatever their headers state. */
+    @ParameterizedTest
+    @ValueSource(strings = {"204 No Content", "304 Not Modified"})
+    void aResponseThatCannotHaveABodyIsCompleteAtOnce(String status) {
+        send("one", false);
+        answer("HTTP/1.1 " + status + "\r\nx-id: one\r\nx-signed: 1\r\n\r\n");
+
         assertThat(mListener.mComplete).isTrue();
+        assertThat(mListener.mHead.status()).isEqualTo(Integer.parseInt(status.substring(0, 3)));
+        assertThat(mListener.mBody.toString()).isEmpty();
     }
 
     @Test
@@ -158,6 +202,115 @@
         assertThat(mListener.mFailure).isEqualTo(Failure.BROKEN);
     }
 
+    /** The end of the body would be a guess, and the caller would get it as a whole one. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length: 5\r\nContent-Length: 3",
+                "Content-Length: 3\r\nContent-Length: 5",
+                "Content-Length: 5, 3",
+                "Content-Length: -1",
+                "Content-Length: +5",
+                "Content-Length: 0x5",
+                "Content-Length: 5 5",
+                "Content-Length: 5;",
+                "Content-Length: five",
+                "Content-Length:",
+                "Content-Length: 99999999999999999999",
+                "Content-Length 5"
+            })
+    void anAmbiguousLengthIsNoValidResponse(String length) {
+        send("one", false);
+        answer("HTTP/1.1 200 OK\r\nx-id: one\r\nx-signed: 1\r\n" + length + "\r\n\r\nhello");
+        mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+
+        assertThat(mListener.mComplete).isFalse();
+        assertThat(mListener.mHead).isNull();
+        assertThat(mListener.mFailure).isEqualTo(Failure.GARBLED);
+    }
+
+    /**
+     * Requests accept no coding but chunked. The coded bytes would reach the caller as the body,
+     * without the header that names the coding.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "gzip",
+                "identity",
+                "gzip, chunked",
+                "chunked, gzip",
+                "chunked, chunked",
+                "xchunked",
+                "chunked\r\nTransfer-Encoding: gzip",
+                "gzip\r\nTransfer-Encoding: chunked",
+                "gzip\r\nContent-Length: 5",
+                ""
+            })
+    void anotherTransferCodingThanChunkedIsNoValidResponse(String coding) {
+        send("one", false);
+        answer(
+                "HTTP/1.1 200 OK\r\nx-id: one\r\nx-signed: 1\r\nTransfer-Encoding: "
+                        + coding
+                        + "\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+        mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+
+        assertThat(mListener.mComplete).isFalse();
+        assertThat(mListener.mHead).isNull();
+        assertThat(mListener.mFailure).isEqualTo(Failure.GARBLED);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"chunked", "Chunked", " chunked "})
+    void chunksAreAccepted(String coding) {
+        send("one", false);
+        answer(
+                "HTTP/1.1 200 OK\r\nx-id: one\r\nx-signed: 1\r\nTransfer-Encoding: "
+                        + coding
+                        + "\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+
+        assertThat(mListener.mBody.toString()).isEqualTo("hello");
+        assertThat(mListener.mComplete).isTrue();
+    }
+
+    /** No request asks for it, and what follows is not HTTP. */
+    @Test
+    void aSwitchOfProtocolsIsNoValidResponse() {
+        send("one", false);
+        answer(
+                "HTTP/1.1 101 Switching Protocols\r\nx-id: one\r\nx-signed: 1\r\n"
+                        + "Connection: upgrade\r\nUpgrade: websocket\r\n\r\nhello");
+        mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+
+        assertThat(mListener.mComplete).isFalse();
+        assertThat(mListener.mFailure).isEqualTo(Failure.GARBLED);
+    }
+
+    /** The caller would get a success without a body as the answer to its request. */
+    @ParameterizedTest
+    @ValueSource(strings = {"100 Continue", "102 Processing", "103 Early Hints", "199 Other"})
+    void anInterimResponseIsNotTheAnswer(String status) {
+        send("one", false);
+        answer("HTTP/1.1 " + status + "\r\nx-id: one\r\nx-signed: 1\r\n\r\n");
+        assertThat(mListener.mHead).isNull();
+        mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+
+        assertThat(mListener.mComplete).isFalse();
+        assertThat(mListener.mHead).isNull();
+        assertThat(mListener.mFailure).isEqualTo(Failure.BROKEN);
+    }
+
+    /** A failed write ends the channel in the same way. */
+    @Test
+    void aHeadThatIsCutByOurOwnCloseIsBroken() {
+        send("one", false);
+        answer("HTTP/1.1 200 OK\r\nx-id: one\r\nx-signed: 1\r\nConte");
+        mChannel.close();
+
+        assertThat(mListener.mHead).isNull();
+        assertThat(mListener.mFailure).isEqualTo(Failure.BROKEN);
+    }
+
     @Test
     void aReusedConnectionThatBreaksBeforeAnyAnswerIsStale() {
         send("one", true);
@@ -166,6 +319,23 @@
         assertThat(mListener.mFailure).isEqualTo(Failure.STALE);
     }
 
+    /** A stale one is sent again to the same upstream, which may have ended due to the request. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "H",
+                "HTTP/1.1 200 OK\r\nx-id: one\r\n",
+                "HTTP/1.1 102 Processing\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nx-id: other\r\nContent-Length: 2\r\n\r\nhi"
+            })
+    void aReusedConnectionThatBreaksAfterTheFirstBytesIsNotStale(String bytes) {
+        send("one", true);
+        answer(bytes);
+        mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+
+        assertThat(mListener.mFailure).isEqualTo(Failure.BROKEN);
+    }
+
     @Test
     void aNewConnectionThatBreaksIsNotStale() {
         send("one", false);
