Bound the size of an event of a stream

A faulty upstream that sends bytes that complete no event, without end, was read until its caller closed: all of them were kept, in an array that doubled by copying. The instance ran out of memory, and the requests of all its other callers ended with it. Every three empty lines counted as an event and were written by themselves, so that the bookkeeping took about a hundred times their size.

An event now has at most 256 KiB. An engine's event holds the output of one step, some hundred bytes; 256 KiB is also the size up to which other responses are buffered. 1 MiB was weighed: fifty such streams would take more than half of the heap of 96 MB, 256 KiB take 12.5 MB. Beyond the bound the attempt ends as lost, its connection is closed, and another attempt continues after the last forwarded event. Empty lines between events are dropped, as the format has it. Only the incomplete event is copied, once, and its array is released when it is complete.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/EventSplitter.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/EventSplitter.java
@@ -4,61 +4,121 @@
 import java.util.Arrays;
 import java.util.List;
 
-/** Splits the bytes of a stream into complete events (text/event-stream). */
+/**
+ * Splits the bytes of a stream into complete events (text/event-stream). Retains at most {@link
+ * #MAX_EVENT_BYTES} of an incomplete event. Empty lines between events are dropped, since they
+ * belong to no event.
+ */
 final class EventSplitter {
+    /**
+     * Maximum size of one event, bytes. An event holds the output of one step of an engine, some
+     * hundred bytes; this is also the size up to which a response that is not a stream is buffered.
+     * Fifty streams with an event of this size take 12.5 MB, an eighth of an instance's heap.
+     */
+    static final int MAX_EVENT_BYTES = 256 << 10;
+
     private static final byte[] ID_FIELD = {'i', 'd', ':'};
 
     /** Maximum digits of an event number; any number of 18 digits fits into a long. */
     private static final int MAX_DIGITS = 18;
 
-    private byte[] mBytes = new byte[512];
+    /** Initial capacity, bytes. A larger array is released once its event is complete. */
+    private static final int INITIAL_CAPACITY = 512;
+
+    private byte[] mBytes = new byte[INITIAL_CAPACITY];
     private int mLength;
-    private int mScanned;
+    private boolean mExceeded;
 
-    /** Adds bytes and returns the events that they complete. */
+    /**
+     * Adds bytes and returns the events that they complete. No events are returned after one that
+     * exceeds the maximum size.
+     */
     List<StreamEvent> add(byte[] part) {
-        if (mLength + part.length > mBytes.length) {
-            mBytes = Arrays.copyOf(mBytes, Math.max(mBytes.length * 2, mLength + part.length));
-        }
-        System.arraycopy(part, 0, mBytes, mLength, part.length);
-        mLength += part.length;
         List<StreamEvent> events = new ArrayList<>(2);
         int start = 0;
-        for (int i = mScanned; i < mLength; i++) {
-            if (mBytes[i] == '\n' && endsEvent(start, i)) {
-                byte[] bytes = Arrays.copyOfRange(mBytes, start, i + 1);
-                events.add(new StreamEvent(parseNumber(bytes), bytes));
+        for (int i = 0; i < part.length && !mExceeded; i++) {
+            if (start == i && mLength == 0 && isLineEnd(part[i])) {
+                start++;
+            } else if (part[i] == '\n' && endsEvent(part, start, i)) {
+                retain(part, start, i + 1);
+                if (!mExceeded) {
+                    events.add(takeEvent());
+                }
                 start = i + 1;
             }
         }
-        System.arraycopy(mBytes, start, mBytes, 0, mLength - start);
-        mLength -= start;
-        mScanned = mLength;
+        retain(part, start, part.length);
         return events;
     }
 
-    /** Returns the bytes after the last complete event. */
+    /** Returns whether the stream has an event that exceeds the maximum size. */
+    boolean isExceeded() {
+        return mExceeded;
+    }
+
+    /** Returns the bytes after the last complete event, without empty lines that follow it. */
     byte[] remainder() {
         return Arrays.copyOf(mBytes, mLength);
     }
 
     /** Returns whether the bytes after the last complete event are more than empty lines. */
     boolean isWithinEvent() {
-        for (int i = 0; i < mLength; i++) {
-            if (mBytes[i] != '\n' && mBytes[i] != '\r') {
-                return true;
-            }
+        return mLength > 0 || mExceeded;
+    }
+
+    /** Returns the number of bytes that the splitter occupies. */
+    int capacity() {
+        return mBytes.length;
+    }
+
+    private void retain(byte[] part, int start, int end) {
+        int length = mLength + end - start;
+        if (mExceeded || length > MAX_EVENT_BYTES) {
+            mExceeded = true;
+            release();
+            return;
+        }
+        if (length > mBytes.length) {
+            int doubled = Math.min(mBytes.length * 2, MAX_EVENT_BYTES);
+            mBytes = Arrays.copyOf(mBytes, Math.max(doubled, length));
         }
-        return false;
+        System.arraycopy(part, start, mBytes, mLength, end - start);
+        mLength = length;
     }
 
-    /** Returns whether the line feed at {@code end} ends an empty line after a non-empty event. */
-    private boolean endsEvent(int start, int end) {
+    private StreamEvent takeEvent() {
+        byte[] bytes = Arrays.copyOf(mBytes, mLength);
+        release();
+        return new StreamEvent(parseNumber(bytes), bytes);
+    }
+
+    private void release() {
+        mLength = 0;
+        if (mBytes.length > INITIAL_CAPACITY) {
+            mBytes = new byte[INITIAL_CAPACITY];
+        }
+    }
+
+    /** Returns whether the line feed at {@code end} of a part ends an empty line of an event. */
+    private boolean endsEvent(byte[] part, int start, int end) {
         int before = end - 1;
-        if (before >= start && mBytes[before] == '\r') {
+        if (byteAt(part, start, before) == '\r') {
             before--;
         }
-        return before > start && mBytes[before] == '\n';
+        return byteAt(part, start, before) == '\n';
+    }
+
+    /** Returns the byte at an index of a part, or of the retained bytes before its start. */
+    private byte byteAt(byte[] part, int start, int index) {
+        if (index >= start) {
+            return part[index];
+        }
+        int retained = mLength - (start - index);
+        return retained >= 0 ? mBytes[retained] : 0;
+    }
+
+    private static boolean isLineEnd(byte value) {
+        return value == '\n' || value == '\r';
     }
 
     /** Parses the number of an event from its bytes, which avoids a string for each line. */
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -330,6 +330,10 @@
                     }
                     forward(event);
                 }
+                if (mAttempt == this && mSplitter.isExceeded()) {
+                    cancelCall();
+                    endAttempt(this, AttemptEnd.LOST, "an event exceeds the maximum size");
+                }
                 return;
             }
             mBody.writeBytes(part);
@@ -488,11 +492,7 @@
                 endAttempt(this, AttemptEnd.LOST, "the stream ends within an event");
                 return;
             }
-            byte[] remainder = mSplitter.remainder();
             sendHead();
-            if (remainder.length > 0) {
-                mChannel.write(remainder);
-            }
             mChannel.end();
             completeDelivery(this);
         }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -349,6 +349,22 @@
         assertThat(mSent.getFirst().cancelled()).isTrue();
     }
 
+    /** Bytes that complete no event may come without end, until memory is exhausted. */
+    @Test
+    void aStreamWithAnEventWithoutEndContinuesAtAnotherUpstream() {
+        Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 0);
+        start(exchange, 1, FIRST);
+        events(0, "id: 1\n\nid: 2\ndata: " + "x".repeat(300 << 10));
+        assertThat(mControl.mLog).containsExactly("ended 1 LOST");
+        assertThat(mSent.getFirst().cancelled()).isTrue();
+        start(exchange, 2, SECOND);
+        events(1, "id: 2\n\n");
+        mSent.get(1).listener().onComplete();
+
+        assertThat(mCaller.mLog)
+                .containsExactly("begin 200", "part id: 1\n\n", "part id: 2\n\n", "end");
+    }
+
     /** Forwarded in parts, it would commit the caller to a request that was not executed. */
     @Test
     void aLongRejectionIsNotForwarded() {
