Hold small parts for a slow caller as one

Reading from an upstream pauses while its caller does not read, but all parts that were in the last read are still written: thousands of events, or chunks, of a few bytes. Each of them waited as three entries of the channel's write buffer, several hundred bytes for three bytes of an event, and the mark at which reading pauses does not bound what follows it. A faulty upstream that sends small events without end, to callers that are slow, could take several MB a connection.

Parts that come after the mark now wait in one array, and are written as one when the caller reads, or at the end of the response.

EdgeConnectionTest.smallPartsForASlowCallerWaitAsOne failed before: "[writes while the caller does not read] expected: 0 but was: 10000"; aResponseThatEndsBeforeItsCallerReadsIsWhole as well (two chunks).

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -108,6 +109,10 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
+        ResponseWriter response = mResponse;
+        if (response != null) {
+            response.writeHeld();
+        }
         RequestHandler.CallerListener listener = mCallerListener;
         if (listener != null) {
             listener.writabilityChanged();
@@ -357,6 +362,13 @@
     private final class ResponseWriter implements CallerChannel {
         private final ChannelHandlerContext mCallerContext;
         private final boolean mKeepAlive;
+
+        /**
+         * Parts that wait until the caller reads. One read from an upstream can hold thousands of
+         * small parts, and each takes several hundred bytes while it waits in the channel.
+         */
+        private ByteArrayOutputStream mHeld = new ByteArrayOutputStream(0);
+
         private boolean mHeadSent;
         private boolean mDone;
 
@@ -428,11 +440,35 @@
 
         @Override
         public void write(byte[] part) {
-            if (!mDone) {
-                mCallerContext.writeAndFlush(
-                        new DefaultHttpContent(Unpooled.wrappedBuffer(part)),
-                        mCallerContext.voidPromise());
+            if (mDone) {
+                return;
             }
+            if (isWritable()) {
+                writeContent(part);
+            } else {
+                mHeld.writeBytes(part);
+            }
+        }
+
+        /** Writes the held parts as one; does nothing while the caller does not read. */
+        void writeHeld() {
+            if (!mDone && mCallerContext.channel().isWritable()) {
+                flushHeld();
+            }
+        }
+
+        private void flushHeld() {
+            if (mHeld.size() > 0) {
+                byte[] held = mHeld.toByteArray();
+                mHeld = new ByteArrayOutputStream(0);
+                writeContent(held);
+            }
+        }
+
+        private void writeContent(byte[] part) {
+            mCallerContext.writeAndFlush(
+                    new DefaultHttpContent(Unpooled.wrappedBuffer(part)),
+                    mCallerContext.voidPromise());
         }
 
         @Override
@@ -440,6 +476,7 @@
             if (mDone) {
                 return;
             }
+            flushHeld();
             mDone = true;
             boolean keep = keepsAlive();
             var written = mCallerContext.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
@@ -460,7 +497,7 @@
 
         @Override
         public boolean isWritable() {
-            return mCallerContext.channel().isWritable();
+            return mHeld.size() == 0 && mCallerContext.channel().isWritable();
         }
 
         private boolean keepsAlive() {
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
@@ -4,6 +4,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.io.IOException;
@@ -30,6 +33,7 @@
     private final List<CallerRequest> mRequests = new ArrayList<>();
     private final List<CallerChannel> mChannels = new ArrayList<>();
     private int mDisconnects;
+    private int mWrites;
     private boolean mStopping;
     private EdgeConnection mConnection;
     private EmbeddedChannel mChannel;
@@ -56,6 +60,18 @@
                         handler);
         mChannel = new EmbeddedChannel(new EdgeServer.ArrivalMonitor(mConnection));
         CallerCodec.addTo(mChannel.pipeline(), 1024, mConnection::isHeadRequest);
+        mChannel.pipeline()
+                .addLast(
+                        new ChannelOutboundHandlerAdapter() {
+                            @Override
+                            public void write(
+                                    ChannelHandlerContext context,
+                                    Object message,
+                                    ChannelPromise promise) {
+                                mWrites++;
+                                context.write(message, promise);
+                            }
+                        });
         mChannel.pipeline().addLast(mConnection);
         mConnection.channelActive(mChannel.pipeline().lastContext());
     }
@@ -210,6 +226,44 @@
         assertThat(written()).contains("retry-after: 0.250");
     }
 
+    /** Thousands of small parts from one read took several hundred bytes each while they waited. */
+    @Test
+    void smallPartsForASlowCallerWaitAsOne() {
+        send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+        CallerChannel channel = mChannels.getFirst();
+        channel.writeHead(200, new DefaultHttpHeaders());
+        mChannel.unsafe().outboundBuffer().setUserDefinedWritability(1, false);
+        mWrites = 0;
+        for (int i = 0; i < 10_000; i++) {
+            channel.write("ab".getBytes(StandardCharsets.UTF_8));
+        }
+        assertThat(mWrites).as("writes while the caller does not read").isZero();
+        assertThat(channel.isWritable()).isFalse();
+
+        mChannel.unsafe().outboundBuffer().setUserDefinedWritability(1, true);
+        mChannel.runPendingTasks();
+
+        assertThat(mWrites).isEqualTo(1);
+        assertThat(channel.isWritable()).isTrue();
+        channel.write("cd".getBytes(StandardCharsets.UTF_8));
+        channel.end();
+        assertThat(written())
+                .contains("\r\n4e20\r\n" + "ab".repeat(10_000) + "\r\n2\r\ncd\r\n0\r\n\r\n");
+    }
+
+    @Test
+    void aResponseThatEndsBeforeItsCallerReadsIsWhole() {
+        send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+        CallerChannel channel = mChannels.getFirst();
+        channel.writeHead(200, new DefaultHttpHeaders());
+        mChannel.unsafe().outboundBuffer().setUserDefinedWritability(1, false);
+        channel.write("ab".getBytes(StandardCharsets.UTF_8));
+        channel.write("cd".getBytes(StandardCharsets.UTF_8));
+        channel.end();
+
+        assertThat(written()).endsWith("\r\n4\r\nabcd\r\n0\r\n\r\n");
+    }
+
     private void elapse(Duration time) {
         mTicker.advance(time);
         mChannel.advanceTimeBy(time.toMillis(), TimeUnit.MILLISECONDS);
