Parse one request of a caller at a time

While a request was in progress, everything that its caller had sent behind it was parsed at once and queued; reading paused from 16 messages on, but one read of 64 KiB can hold 3,600 requests, which take some 700 bytes each. A caller that sends small requests without waiting for responses could take 2 MB a connection. A pipelined request of which only a part had arrived also kept its connection until the idle timeout instead of the header timeout.

Bytes behind a request in progress now stay unparsed until it has its response. Reading pauses from 16 KiB of them on, so that at most these and one read wait. The header timeout begins when the previous response is complete.

EdgeConnectionTest on the code before: pipelinedRequestsAreNotParsedBeforeTheirTurn ("[parsed messages] Expecting actual: 6000 to be less than or equal to: 2"), readingPausesWhileManyBytesWait ("Expecting value to be false but was true") and anIncompletePipelinedRequestIsRejectedAfterTheHeaderTimeout (no 408) failed. New cases that held before: chunked bodies, trailers and chunk sizes without end.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
@@ -28,9 +28,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.Locale;
-import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import org.gentianwalk.core.route.CallerLimits;
 import org.gentianwalk.gateway.wire.CallerHead;
@@ -39,14 +37,17 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * One connection of a caller. Requests are handled one at a time; pipelined messages wait in a
- * bounded queue.
+ * One connection of a caller. Requests are handled one at a time; pipelined ones wait as unparsed
+ * bytes.
  */
 final class EdgeConnection extends ChannelInboundHandlerAdapter {
     private static final Logger LOG = Logger.getLogger(EdgeConnection.class);
 
-    /** Queued messages from which on reading pauses while a request is in progress. */
-    private static final int MAX_PIPELINED = 16;
+    /**
+     * Unparsed bytes from which on reading pauses while a request is in progress. Below that,
+     * reading continues, since the disconnect of a caller is only noticed while reading.
+     */
+    private static final int MAX_PIPELINED_BYTES = 16 << 10;
 
     private static final double MILLIS_PER_SECOND = 1000;
 
@@ -55,7 +56,7 @@
 
     private final EdgeOptions mOptions;
     private final RequestHandler mHandler;
-    private final Queue<Object> mPipelined = new ArrayDeque<>();
+    private CallerInput mInput = () -> {};
     private @Nullable ChannelHandlerContext mContext;
     private @Nullable HttpRequest mHead;
     private @Nullable CallerHead mCallerHead;
@@ -89,8 +90,6 @@
             timer.cancel(false);
         }
         discardRequest();
-        mPipelined.forEach(ReferenceCountUtil::release);
-        mPipelined.clear();
         RequestHandler.CallerListener listener = mCallerListener;
         mCallerListener = null;
         mResponse = null;
@@ -125,14 +124,32 @@
             ReferenceCountUtil.release(message);
             return;
         }
+        read(context, message);
+    }
+
+    /** Sets what parses the bytes of the caller. */
+    void input(CallerInput input) {
+        mInput = input;
+    }
+
+    /** Returns whether a request is in progress, so that no further one may be parsed. */
+    boolean hasRequest() {
+        return mResponse != null;
+    }
+
+    /** Called after received bytes were parsed; {@code waiting} of them were not. */
+    void inputParsed(int waiting) {
+        ChannelHandlerContext context = mContext;
+        if (context == null || mClosing) {
+            return;
+        }
         if (mResponse != null) {
-            mPipelined.add(message);
-            if (mPipelined.size() >= MAX_PIPELINED) {
+            if (waiting >= MAX_PIPELINED_BYTES) {
                 context.channel().config().setAutoRead(false);
             }
-            return;
+        } else if (waiting > 0 || mHead != null) {
+            bytesArrived();
         }
-        read(context, message);
     }
 
     /** Starts the header timeout, within which the whole request must arrive. */
@@ -316,14 +333,11 @@
             mClosing = true;
             return;
         }
-        while (mResponse == null && !mClosing && !mPipelined.isEmpty()) {
-            mReceiving = true;
-            read(context, mPipelined.remove());
-        }
-        if (mPipelined.isEmpty()) {
+        armTimer(context, mOptions.limits().get().idleTimeout());
+        mInput.resume();
+        if (mResponse == null) {
             context.channel().config().setAutoRead(true);
         }
-        armTimer(context, mOptions.limits().get().idleTimeout());
     }
 
     private void armTimer(ChannelHandlerContext context, Duration delay) {
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeServer.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeServer.java
@@ -107,7 +107,7 @@
         mConnections.add(connection);
         channel.closeFuture().addListener(closed -> mConnections.remove(connection));
         channel.pipeline().addLast(new ArrivalMonitor(connection));
-        CallerCodec.addTo(channel.pipeline(), limits.maxHeaderBytes(), connection::isHeadRequest);
+        CallerCodec.addTo(channel.pipeline(), limits.maxHeaderBytes(), connection);
         channel.pipeline().addLast(connection);
     }
 
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -34,7 +35,9 @@
     private final List<CallerChannel> mChannels = new ArrayList<>();
     private int mDisconnects;
     private int mWrites;
+    private int mMessages;
     private boolean mStopping;
+    private boolean mRespondsAtOnce;
     private EdgeConnection mConnection;
     private EmbeddedChannel mChannel;
 
@@ -44,6 +47,9 @@
                 (request, channel) -> {
                     mRequests.add(request);
                     mChannels.add(channel);
+                    if (mRespondsAtOnce) {
+                        channel.respond(404, "unknown", null);
+                    }
                     return new RequestHandler.CallerListener() {
                         @Override
                         public void callerDisconnected() {
@@ -59,7 +65,7 @@
                         new EdgeOptions(new PlainDialect(), () -> LIMITS, () -> mStopping, mTicker),
                         handler);
         mChannel = new EmbeddedChannel(new EdgeServer.ArrivalMonitor(mConnection));
-        CallerCodec.addTo(mChannel.pipeline(), 1024, mConnection::isHeadRequest);
+        CallerCodec.addTo(mChannel.pipeline(), 1024, mConnection);
         mChannel.pipeline()
                 .addLast(
                         new ChannelOutboundHandlerAdapter() {
@@ -71,6 +77,14 @@
                                 mWrites++;
                                 context.write(message, promise);
                             }
+                        })
+                .addLast(
+                        new ChannelInboundHandlerAdapter() {
+                            @Override
+                            public void channelRead(ChannelHandlerContext context, Object message) {
+                                mMessages++;
+                                context.fireChannelRead(message);
+                            }
                         });
         mChannel.pipeline().addLast(mConnection);
         mConnection.channelActive(mChannel.pipeline().lastContext());
@@ -264,6 +278,82 @@
         assertThat(written()).endsWith("\r\n4\r\nabcd\r\n0\r\n\r\n");
     }
 
+    /** A parsed request takes some 700 bytes, also one that was sent in 18. */
+    @Test
+    void pipelinedRequestsAreNotParsedBeforeTheirTurn() {
+        int count = 3_000;
+        send("GET / HTTP/1.1\r\n\r\n".repeat(count));
+
+        assertThat(mMessages).as("parsed messages").isLessThanOrEqualTo(2);
+        assertThat(mChannel.config().isAutoRead()).as("reading").isFalse();
+        for (int i = 0; i < count; i++) {
+            assertThat(mRequests).hasSize(i + 1);
+            mChannels.get(i).respond(200, new DefaultHttpHeaders(), new byte[0]);
+        }
+        assertThat(mRequests).hasSize(count);
+        assertThat(mChannel.config().isAutoRead()).isTrue();
+    }
+
+    /** Requests that are answered at once, such as unknown paths, must not end the parsing. */
+    @Test
+    void pipelinedRequestsThatAreAnsweredAtOnceAreAllAnswered() {
+        mRespondsAtOnce = true;
+        send("GET / HTTP/1.1\r\n\r\n".repeat(3_000));
+
+        assertThat(mRequests).hasSize(3_000);
+    }
+
+    /** Bytes without end beside a request in progress. */
+    @Test
+    void readingPausesWhileManyBytesWait() {
+        send("GET / HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nContent-Length: 2000\r\n\r\n");
+        assertThat(mChannel.config().isAutoRead()).isTrue();
+        send("x".repeat(20_000));
+
+        assertThat(mChannel.config().isAutoRead()).isFalse();
+        assertThat(mMessages).as("parsed messages").isLessThanOrEqualTo(2);
+    }
+
+    /** A request that was sent in part behind another one must not keep its connection forever. */
+    @Test
+    void anIncompletePipelinedRequestIsRejectedAfterTheHeaderTimeout() {
+        send("GET /a HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nContent-");
+        mChannels.getFirst().respond(200, new DefaultHttpHeaders(), new byte[0]);
+        elapse(Duration.ofMillis(3_100));
+
+        assertThat(written()).contains("HTTP/1.1 408 ");
+    }
+
+    @Test
+    void longTrailersAreRefused() {
+        send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n");
+        for (int i = 0; i < 100 && mChannel.isOpen(); i++) {
+            send("X-T" + i + ": " + "x".repeat(900) + "\r\n");
+        }
+
+        assertThat(written()).startsWith("HTTP/1.1 4");
+        assertThat(mRequests).isEmpty();
+    }
+
+    @Test
+    void aChunkedBodyBeyondTheLimitIsRefused() {
+        send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (int i = 0; i < 2_000; i++) {
+            send("2\r\nab\r\n");
+        }
+
+        assertThat(written()).startsWith("HTTP/1.1 413 ");
+        assertThat(mRequests).isEmpty();
+    }
+
+    @Test
+    void anEndlessChunkSizeIsRefused() {
+        send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2;");
+        send("x".repeat(5_000));
+
+        assertThat(written()).startsWith("HTTP/1.1 4");
+    }
+
     private void elapse(Duration time) {
         mTicker.advance(time);
         mChannel.advanceTimeBy(time.toMillis(), TimeUnit.MILLISECONDS);
