Bound the size of a table that is read in pages

A store that answers every read with further pages, or repeats a page, was read without end; all rows were kept, and the table was never in force.

A page whose last key is not after that of the page before ends the read, and so does a table larger than 8 MiB (the 12,000 upstreams of the largest site take 5 MB). Both are handled as a failure of the store: the rows known before stay in force, and the table is read again after a pause.

TableWatcherTest on the code before: aPageThatIsRepeatedEndsTheRead ("Expecting actual: [] to contain exactly [lost a page does not continue the one before]") and aTableWithoutEndIsReadUpToItsMaximumSize ("Expecting actual: 104857600L to be less than or equal to: 8388608L") failed.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
@@ -1,7 +1,9 @@
 package org.gentianwalk.gateway.store;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
@@ -38,6 +40,15 @@
     /** Maximum number of calls at the same time. */
     private static final int MAX_PENDING = 4;
 
+    /**
+     * Maximum size of a table that is read, bytes, including {@link #ROW_BYTES} a row. The
+     * upstreams of the largest site, 12,000 rows of some 300 bytes, take 5 MB.
+     */
+    static final long MAX_TABLE_BYTES = 8 << 20;
+
+    /** Memory of a row beside its key and value, bytes; an estimate. */
+    static final int ROW_BYTES = 128;
+
     private final RowStore mStore;
     private final String mTable;
     private final TableListener mListener;
@@ -232,6 +243,7 @@
         private final int mReadRound;
         private final List<Row> mRows = new ArrayList<>();
         private long mVersion;
+        private long mBytes;
 
         CompleteRead(int round) {
             mReadRound = round;
@@ -257,6 +269,19 @@
                 // Changes between the reads of two pages may be missing from the first one.
                 mVersion = rows.version();
             }
+            if (!mRows.isEmpty()
+                    && !rows.rows().isEmpty()
+                    && !isAfter(rows.rows().getLast(), mRows.getLast())) {
+                callFailed("a page does not continue the one before");
+                return;
+            }
+            for (Row row : rows.rows()) {
+                mBytes += row.key().length() + row.value().length + ROW_BYTES;
+            }
+            if (mBytes > MAX_TABLE_BYTES) {
+                callFailed("the table is larger than " + MAX_TABLE_BYTES + " bytes");
+                return;
+            }
             mRows.addAll(rows.rows());
             if (rows.more() && !rows.rows().isEmpty()) {
                 // The smallest key after the last one, in byte order.
@@ -270,6 +295,14 @@
             mFeed.reportRead(mTable, from, mVersion, changed);
             poll();
         }
+
+        /** Compares in the order of the store, that of the bytes of the keys. */
+        private static boolean isAfter(Row row, Row before) {
+            return Arrays.compareUnsigned(
+                            row.key().getBytes(StandardCharsets.UTF_8),
+                            before.key().getBytes(StandardCharsets.UTF_8))
+                    > 0;
+        }
     }
 
     /** Polls the store for changes, unless other instances pass them on. */
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -78,6 +79,42 @@
                 .containsExactly("read ''", "read 'a\0'", "changes 5", "changes 9");
     }
 
+    /** A store that repeats a page without end would fill the memory with its rows. */
+    @Test
+    void aPageThatIsRepeatedEndsTheRead() {
+        answer(new Result.Rows(List.of(row("a"), row("b")), true, 5));
+        answer(new Result.Rows(List.of(row("a"), row("b")), true, 5));
+
+        assertThat(mEvents).containsExactly("lost a page does not continue the one before");
+        assertThat(mStore.mCalls).containsExactly("read ''", "read 'b\0'");
+        mControl.advance(Duration.ofSeconds(1));
+        answer(new Result.Rows(List.of(row("a")), false, 6));
+        assertThat(mEvents).endsWith("all [a]");
+    }
+
+    /** New pages may follow without end as well. */
+    @Test
+    void aTableWithoutEndIsReadUpToItsMaximumSize() {
+        byte[] value = new byte[1 << 20];
+        int pages = 0;
+        while (mEvents.isEmpty() && pages < 100) {
+            String key = String.format(Locale.ROOT, "%04d", pages++);
+            answer(new Result.Rows(List.of(new Row(key, value, false, 3)), true, 5));
+        }
+
+        assertThat((long) pages << 20).isLessThanOrEqualTo(TableWatcher.MAX_TABLE_BYTES);
+        assertThat(mEvents).first().asString().startsWith("lost the table is larger");
+    }
+
+    /** Keys are in the order of their bytes, which differs from the order of their characters. */
+    @Test
+    void pagesContinueInTheOrderOfBytes() {
+        answer(new Result.Rows(List.of(row("\uffee")), true, 5));
+        answer(new Result.Rows(List.of(row("\ud83d\ude00")), false, 5));
+
+        assertThat(mEvents).containsExactly("all [\ud83d\ude00, \uffee]");
+    }
+
     /** Each page is read at a version of its own, so the first one may lack later changes. */
     @Test
     void aChangeBetweenTheReadsOfTwoPagesIsNotMissed() {
