--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
@@ -24,12 +24,11 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.Locale;
-import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import org.gentianwalk.core.route.CallerLimits;
 import org.gentianwalk.gateway.wire.CallerHead;
@@ -38,14 +37,17 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * One connection of a caller. Requests are handled one at a time; pipelined messages wait in a
- * bounded queue.
+ * One connection of a caller. Requests are handled one at a time; pipelined ones wait as unparsed
+ * bytes.
  */
 final class EdgeConnection extends ChannelInboundHandlerAdapter {
     private static final Logger LOG = Logger.getLogger(EdgeConnection.class);
 
-    /** Queued messages from which on reading pauses while a request is in progress. */
-    private static final int MAX_PIPELINED = 16;
+    /**
+     * Unparsed bytes from which on reading pauses while a request is in progress. Below that,
+     * reading continues, since the disconnect of a caller is only noticed while reading.
+     */
+    private static final int MAX_PIPELINED_BYTES = 16 << 10;
 
     private static final double MILLIS_PER_SECOND = 1000;
 
@@ -54,7 +56,7 @@
 
     private final EdgeOptions mOptions;
     private final RequestHandler mHandler;
-    private final Queue<Object> mPipelined = new ArrayDeque<>();
+    private CallerInput mInput = () -> {};
     private @Nullable ChannelHandlerContext mContext;
     private @Nullable HttpRequest mHead;
     private @Nullable CallerHead mCallerHead;
@@ -88,8 +90,6 @@
             timer.cancel(false);
         }
         discardRequest();
-        mPipelined.forEach(ReferenceCountUtil::release);
-        mPipelined.clear();
         RequestHandler.CallerListener listener = mCallerListener;
         mCallerListener = null;
         mResponse = null;
@@ -108,6 +108,10 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
+        ResponseWriter response = mResponse;
+        if (response != null) {
+            response.writeHeld();
+        }
         RequestHandler.CallerListener listener = mCallerListener;
         if (listener != null) {
             listener.writabilityChanged();
@@ -120,14 +124,32 @@
             ReferenceCountUtil.release(message);
             return;
         }
+        read(context, message);
+    }
+
+    /** Sets what parses the bytes of the caller. */
+    void input(CallerInput input) {
+        mInput = input;
+    }
+
+    /** Returns whether a request is in progress, so that no further one may be parsed. */
+    boolean hasRequest() {
+        return mResponse != null;
+    }
+
+    /** Called after received bytes were parsed; {@code waiting} of them were not. */
+    void inputParsed(int waiting) {
+        ChannelHandlerContext context = mContext;
+        if (context == null || mClosing) {
+            return;
+        }
         if (mResponse != null) {
-            mPipelined.add(message);
-            if (mPipelined.size() >= MAX_PIPELINED) {
+            if (waiting >= MAX_PIPELINED_BYTES) {
                 context.channel().config().setAutoRead(false);
             }
-            return;
+        } else if (waiting > 0 || mHead != null) {
+            bytesArrived();
         }
-        read(context, message);
     }
 
     /** Starts the header timeout, within which the whole request must arrive. */
@@ -311,14 +333,11 @@
             mClosing = true;
             return;
         }
-        while (mResponse == null && !mClosing && !mPipelined.isEmpty()) {
-            mReceiving = true;
-            read(context, mPipelined.remove());
-        }
-        if (mPipelined.isEmpty()) {
+        armTimer(context, mOptions.limits().get().idleTimeout());
+        mInput.resume();
+        if (mResponse == null) {
             context.channel().config().setAutoRead(true);
         }
-        armTimer(context, mOptions.limits().get().idleTimeout());
     }
 
     private void armTimer(ChannelHandlerContext context, Duration delay) {
@@ -357,6 +376,13 @@
     private final class ResponseWriter implements CallerChannel {
         private final ChannelHandlerContext mCallerContext;
         private final boolean mKeepAlive;
+
+        /**
+         * Parts that wait until the caller reads. One read from an upstream can hold thousands of
+         * small parts, and each takes several hundred bytes while it waits in the channel.
+         */
+        private ByteArrayOutputStream mHeld = new ByteArrayOutputStream(0);
+
         private boolean mHeadSent;
         private boolean mDone;
 
@@ -428,18 +454,43 @@
 
         @Override
         public void write(byte[] part) {
-            if (!mDone) {
-                mCallerContext.writeAndFlush(
-                        new DefaultHttpContent(Unpooled.wrappedBuffer(part)),
-                        mCallerContext.voidPromise());
+            if (mDone) {
+                return;
+            }
+            if (isWritable()) {
+                writeContent(part);
+            } else {
+                mHeld.writeBytes(part);
             }
         }
 
+        /** Writes the held parts as one; does nothing while the caller does not read. */
+        void writeHeld() {
+            if (!mDone && mCallerContext.channel().isWritable()) {
+                flushHeld();
+            }
+        }
+
+        private void flushHeld() {
+            if (mHeld.size() > 0) {
+                byte[] held = mHeld.toByteArray();
+                mHeld = new ByteArrayOutputStream(0);
+                writeContent(held);
+            }
+        }
+
+        private void writeContent(byte[] part) {
+            mCallerContext.writeAndFlush(
+                    new DefaultHttpContent(Unpooled.wrappedBuffer(part)),
+                    mCallerContext.voidPromise());
+        }
+
         @Override
         public void end() {
             if (mDone) {
                 return;
             }
+            flushHeld();
             mDone = true;
             boolean keep = keepsAlive();
             var written = mCallerContext.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
@@ -460,7 +511,7 @@
 
         @Override
         public boolean isWritable() {
-            return mCallerContext.channel().isWritable();
+            return mHeld.size() == 0 && mCallerContext.channel().isWritable();
         }
 
         private boolean keepsAlive() {
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -333,6 +333,10 @@
                     }
                     forward(event);
                 }
+                if (mAttempt == this && mSplitter.isExceeded()) {
+                    cancelCall();
+                    endAttempt(this, AttemptEnd.LOST, "an event exceeds the maximum size");
+                }
                 return;
             }
             mBody.writeBytes(part);
@@ -504,11 +508,7 @@
                                 + mLastEvent);
                 return;
             }
-            byte[] remainder = mSplitter.remainder();
             sendHead();
-            if (remainder.length > 0) {
-                mChannel.write(remainder);
-            }
             mChannel.end();
             completeDelivery(this);
         }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
@@ -4,6 +4,10 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.io.IOException;
@@ -30,7 +34,10 @@
     private final List<CallerRequest> mRequests = new ArrayList<>();
     private final List<CallerChannel> mChannels = new ArrayList<>();
     private int mDisconnects;
+    private int mWrites;
+    private int mMessages;
     private boolean mStopping;
+    private boolean mRespondsAtOnce;
     private EdgeConnection mConnection;
     private EmbeddedChannel mChannel;
 
@@ -40,6 +47,9 @@
                 (request, channel) -> {
                     mRequests.add(request);
                     mChannels.add(channel);
+                    if (mRespondsAtOnce) {
+                        channel.respond(404, "unknown", null);
+                    }
                     return new RequestHandler.CallerListener() {
                         @Override
                         public void callerDisconnected() {
@@ -55,7 +65,27 @@
                         new EdgeOptions(new PlainDialect(), () -> LIMITS, () -> mStopping, mTicker),
                         handler);
         mChannel = new EmbeddedChannel(new EdgeServer.ArrivalMonitor(mConnection));
-        CallerCodec.addTo(mChannel.pipeline(), 1024, mConnection::isHeadRequest);
+        CallerCodec.addTo(mChannel.pipeline(), 1024, mConnection);
+        mChannel.pipeline()
+                .addLast(
+                        new ChannelOutboundHandlerAdapter() {
+                            @Override
+                            public void write(
+                                    ChannelHandlerContext context,
+                                    Object message,
+                                    ChannelPromise promise) {
+                                mWrites++;
+                                context.write(message, promise);
+                            }
+                        })
+                .addLast(
+                        new ChannelInboundHandlerAdapter() {
+                            @Override
+                            public void channelRead(ChannelHandlerContext context, Object message) {
+                                mMessages++;
+                                context.fireChannelRead(message);
+                            }
+                        });
         mChannel.pipeline().addLast(mConnection);
         mConnection.channelActive(mChannel.pipeline().lastContext());
     }
@@ -210,6 +240,120 @@
         assertThat(written()).contains("retry-after: 0.250");
     }
 
+    /** Thousands of small parts from one read took several hundred bytes each while they waited. */
+    @Test
+    void smallPartsForASlowCallerWaitAsOne() {
+        send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+        CallerChannel channel = mChannels.getFirst();
+        channel.writeHead(200, new DefaultHttpHeaders());
+        mChannel.unsafe().outboundBuffer().setUserDefinedWritability(1, false);
+        mWrites = 0;
+        for (int i = 0; i < 10_000; i++) {
+            channel.write("ab".getBytes(StandardCharsets.UTF_8));
+        }
+        assertThat(mWrites).as("writes while the caller does not read").isZero();
+        assertThat(channel.isWritable()).isFalse();
+
+        mChannel.unsafe().outboundBuffer().setUserDefinedWritability(1, true);
+        mChannel.runPendingTasks();
+
+        assertThat(mWrites).isEqualTo(1);
+        assertThat(channel.isWritable()).isTrue();
+        channel.write("cd".getBytes(StandardCharsets.UTF_8));
+        channel.end();
+        assertThat(written())
+                .contains("\r\n4e20\r\n" + "ab".repeat(10_000) + "\r\n2\r\ncd\r\n0\r\n\r\n");
+    }
+
+    @Test
+    void aResponseThatEndsBeforeItsCallerReadsIsWhole() {
+        send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+        CallerChannel channel = mChannels.getFirst();
+        channel.writeHead(200, new DefaultHttpHeaders());
+        mChannel.unsafe().outboundBuffer().setUserDefinedWritability(1, false);
+        channel.write("ab".getBytes(StandardCharsets.UTF_8));
+        channel.write("cd".getBytes(StandardCharsets.UTF_8));
+        channel.end();
+
+        assertThat(written()).endsWith("\r\n4\r\nabcd\r\n0\r\n\r\n");
+    }
+
+    /** A parsed request takes some 700 bytes, also one that was sent in 18. */
+    @Test
+    void pipelinedRequestsAreNotParsedBeforeTheirTurn() {
+        int count = 3_000;
+        send("GET / HTTP/1.1\r\n\r\n".repeat(count));
+
+        assertThat(mMessages).as("parsed messages").isLessThanOrEqualTo(2);
+        assertThat(mChannel.config().isAutoRead()).as("reading").isFalse();
+        for (int i = 0; i < count; i++) {
+            assertThat(mRequests).hasSize(i + 1);
+            mChannels.get(i).respond(200, new DefaultHttpHeaders(), new byte[0]);
+        }
+        assertThat(mRequests).hasSize(count);
+        assertThat(mChannel.config().isAutoRead()).isTrue();
+    }
+
+    /** Requests that are answered at once, such as unknown paths, must not end the parsing. */
+    @Test
+    void pipelinedRequestsThatAreAnsweredAtOnceAreAllAnswered() {
+        mRespondsAtOnce = true;
+        send("GET / HTTP/1.1\r\n\r\n".repeat(3_000));
+
+        assertThat(mRequests).hasSize(3_000);
+    }
+
+    /** Bytes without end beside a request in progress. */
+    @Test
+    void readingPausesWhileManyBytesWait() {
+        send("GET / HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nContent-Length: 2000\r\n\r\n");
+        assertThat(mChannel.config().isAutoRead()).isTrue();
+        send("x".repeat(20_000));
+
+        assertThat(mChannel.config().isAutoRead()).isFalse();
+        assertThat(mMessages).as("parsed messages").isLessThanOrEqualTo(2);
+    }
+
+    /** A request that was sent in part behind another one must not keep its connection forever. */
+    @Test
+    void anIncompletePipelinedRequestIsRejectedAfterTheHeaderTimeout() {
+        send("GET /a HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nContent-");
+        mChannels.getFirst().respond(200, new DefaultHttpHeaders(), new byte[0]);
+        elapse(Duration.ofMillis(3_100));
+
+        assertThat(written()).contains("HTTP/1.1 408 ");
+    }
+
+    @Test
+    void longTrailersAreRefused() {
+        send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n");
+        for (int i = 0; i < 100 && mChannel.isOpen(); i++) {
+            send("X-T" + i + ": " + "x".repeat(900) + "\r\n");
+        }
+
+        assertThat(written()).startsWith("HTTP/1.1 4");
+        assertThat(mRequests).isEmpty();
+    }
+
+    @Test
+    void aChunkedBodyBeyondTheLimitIsRefused() {
+        send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (int i = 0; i < 2_000; i++) {
+            send("2\r\nab\r\n");
+        }
+
+        assertThat(written()).startsWith("HTTP/1.1 413 ");
+        assertThat(mRequests).isEmpty();
+    }
+
+    @Test
+    void anEndlessChunkSizeIsRefused() {
+        send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2;");
+        send("x".repeat(5_000));
+
+        assertThat(written()).startsWith("HTTP/1.1 4");
+    }
+
     private void elapse(Duration time) {
         mTicker.advance(time);
         mChannel.advanceTimeBy(time.toMillis(), TimeUnit.MILLISECONDS);
