Test leaving and pausing upstreams with many instances

Callers, 1 to 350 instances and ten upstreams run in virtual time, without network. An upstream announces its end, or half of them ask for a pause; reports are lost, repeated and out of order. The tests count requests sent after a notice, requests during pauses and calls that are not answered.

--- /dev/null
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamNoticesTest.java
@@ -0,0 +1,172 @@
+package org.gentianwalk.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.gentianwalk.core.dispatch.Samples.MS;
+import static org.gentianwalk.core.dispatch.Samples.SECOND;
+import static org.gentianwalk.core.dispatch.Samples.finishes;
+import static org.gentianwalk.core.dispatch.Samples.starts;
+import static org.gentianwalk.core.dispatch.Samples.upstream;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.gentianwalk.core.dispatch.NoticeFleet.FakeUpstream;
+import org.gentianwalk.core.dispatch.NoticeFleet.Instance;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Guards against requests to upstreams that leave or pause, and against all that waited arriving at
+ * once, with many instances and requests in virtual time.
+ */
+class UpstreamNoticesTest {
+    private static final long SEED = 20261205;
+    private static final int UPSTREAMS = 10;
+
+    /** Requests a second of all instances together at an upstream after its pause. */
+    private static final int RECOVERY_RATE = 20;
+
+    private final List<Upstream> mEngines = new ArrayList<>();
+
+    private void listEngines(int count) {
+        for (int i = 0; i < count; i++) {
+            mEngines.add(upstream("e" + i, i % 2 == 0 ? "a" : "b"));
+        }
+    }
+
+    /** Calls in progress must be answered, and all others go elsewhere without a refusal. */
+    @ParameterizedTest
+    @CsvSource({"1, 10", "1, 100", "1, 1000", "95, 10", "95, 100", "350, 30"})
+    void noCallIsSentToAnUpstreamThatLeaves(int instances, int calls) {
+        NoticeFleet fleet = new NoticeFleet(instances, UPSTREAMS, SEED);
+        for (int i = 0; i < instances; i++) {
+            fleet.offer(i, calls, 0, 2 * SECOND);
+        }
+        FakeUpstream leaving = fleet.upstreams().getFirst();
+        fleet.at(SECOND, () -> leaving.mLeaving = true);
+        fleet.run(10 * SECOND);
+        System.out.println(fleet.summary("one of " + UPSTREAMS + " leaves"));
+
+        assertThat(fleet.mSentAfterNotice).isZero();
+        assertThat(fleet.mServed).hasSize(fleet.mOffered);
+        // The first answer after the announcement reaches all instances by the next report.
+        long told = leaving.mArrivals.stream().filter(at -> at >= SECOND).findFirst().orElse(0L);
+        assertThat(leaving.arrivals(told + 100 * MS, 10 * SECOND)).isZero();
+    }
+
+    /** A report can be lost; the upstream's own answer then has to stop the requests. */
+    @ParameterizedTest
+    @ValueSource(ints = {95, 350})
+    void anInstanceWithoutTheReportStopsAfterTheFirstAnswer(int instances) {
+        NoticeFleet fleet = new NoticeFleet(instances, UPSTREAMS, SEED);
+        Instance deaf = fleet.mInstances.getLast();
+        deaf.mGetsReports = false;
+        for (int i = 0; i < instances; i++) {
+            fleet.offer(i, 30, 0, 3 * SECOND);
+        }
+        FakeUpstream leaving = fleet.upstreams().getFirst();
+        fleet.at(SECOND, () -> leaving.mLeaving = true);
+        fleet.run(10 * SECOND);
+        System.out.println(fleet.summary("one instance gets no report"));
+
+        assertThat(fleet.mSentAfterNotice).isZero();
+        assertThat(fleet.mServed).hasSize(fleet.mOffered);
+        List<Long> late = leaving.mArrivalsByInstance.getOrDefault(instances - 1, List.of());
+        long sentUnaware = late.stream().filter(at -> at >= 1_100 * MS).count();
+        assertThat(sentUnaware).as("ended by its answer").isLessThanOrEqualTo(1);
+    }
+
+    /** Those that do not pause must serve everything meanwhile. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 95, 350})
+    void halfOfTheUpstreamsPauseWithoutARefusal(int instances) {
+        NoticeFleet fleet = new NoticeFleet(instances, UPSTREAMS, SEED);
+        pause(fleet, UPSTREAMS / 2, SECOND, 4 * SECOND);
+        for (int i = 0; i < instances; i++) {
+            fleet.offer(i, 50, 0, 5 * SECOND);
+        }
+        fleet.run(20 * SECOND);
+        System.out.println(fleet.summary("half of the upstreams pause"));
+
+        assertThat(fleet.requestsInBreachOfPauses()).isZero();
+        assertThat(fleet.mServed).hasSize(fleet.mOffered);
+        assertThat(fleet.servedWithin(SECOND)).isEqualTo(fleet.mOffered);
+    }
+
+    private static void pause(NoticeFleet fleet, int upstreams, long from, long until) {
+        for (FakeUpstream fake : fleet.upstreams().subList(0, upstreams)) {
+            fake.mPauseFrom = from;
+            fake.mPauseUntil = until;
+        }
+    }
+
+    /** Generations in progress finish; those that wait start at another engine, none is refused. */
+    @ParameterizedTest
+    @ValueSource(ints = {10, 100, 1_000})
+    void noGenerationIsSentToAnEngineThatLeaves(int waiting) {
+        UpstreamLimits limits = Samples.limits();
+        StreamScheduler scheduler = Samples.streamScheduler(limits);
+        listEngines(4);
+        scheduler.replaceUpstreams(mEngines, 0);
+        for (int id = 1; id <= waiting; id++) {
+            scheduler.offer(Samples.stream(id, 1, 8_000, 0), 0);
+        }
+        List<Decision.Start> before = starts(scheduler.advance(0));
+        Upstream leaving = mEngines.getFirst();
+        assertThat(before).anyMatch(start -> start.upstream().equals(leaving));
+        limits.recordLeaving(leaving, MS);
+        List<Decision> later = new ArrayList<>(scheduler.advance(MS));
+        for (Decision.Start start : before) {
+            scheduler.recordProgress(start.work().id(), 1, new Progress(1, 400 * MS, 0));
+            later.addAll(scheduler.advance(400 * MS));
+        }
+        for (Decision.Start start : before) {
+            scheduler.recordAttemptEnd(start.work().id(), 1, AttemptEnd.SUCCEEDED, 600 * MS);
+            later.addAll(scheduler.advance(600 * MS));
+        }
+
+        assertThat(finishes(later)).isEmpty();
+        List<Decision.Start> started = starts(later);
+        assertThat(started).noneMatch(start -> start.upstream().equals(leaving));
+        assertThat(started).noneMatch(start -> leaving.equals(start.copyHolder()));
+        assertThat(started).hasSizeGreaterThanOrEqualTo(Math.min(3, waiting - before.size()));
+    }
+
+    /** Reports are repeated and delayed, and must not affect the successor of the process. */
+    @ParameterizedTest
+    @ValueSource(ints = {95, 350})
+    void lateAndRepeatedReportsDoNotAffectOtherProcesses(int instances) {
+        NoticeFleet fleet = new NoticeFleet(instances, UPSTREAMS, SEED);
+        Upstream first = fleet.upstreams().getFirst().mUpstream;
+        Upstream second = Samples.restarted(first, 2);
+        Upstream third = Samples.restarted(first, 3);
+        Upstream sameAddress =
+                new Upstream("other", 1, "service", first.address(), first.zone(), 6, false);
+        for (Instance instance : fleet.mInstances) {
+            UpstreamLimits limits = instance.mLimits;
+            limits.mergeLeaving(List.of(second.process(), second.process()), 0);
+            limits.mergeLeaving(List.of(first.process()), MS);
+            limits.mergeLeaving(List.of(second.process()), 2 * MS);
+            assertThat(limits.isPermitted(first, 3 * MS)).isFalse();
+            assertThat(limits.isPermitted(second, 3 * MS)).isFalse();
+            assertThat(limits.isPermitted(third, 3 * MS)).isTrue();
+            assertThat(limits.isPermitted(sameAddress, 3 * MS)).isTrue();
+            assertThat(limits.recentlyLeaving(3 * MS)).as("reports are not passed on").isEmpty();
+        }
+    }
+
+    /** A false report costs one upstream for a bounded time and does not spread. */
+    @Test
+    void aFalseReportEndsByItself() {
+        UpstreamLimits limits = Samples.limits();
+        Upstream engine = upstream("engine", "a");
+        limits.mergeLeaving(List.of(engine.process()), 0);
+        long bound = UpstreamPauses.MAX_PAUSE.toNanos();
+        limits.expire(bound);
+        assertThat(limits.isPermitted(engine, bound)).isFalse();
+        limits.expire(bound + MS);
+
+        assertThat(limits.isPermitted(engine, bound + MS)).isTrue();
+    }
+}
