Let requests grow step by step after a pause

What had waited for the end of a pause arrived at an upstream almost at once two seconds later, and with many instances right at its end: each instance could send its first request within two seconds, however many there were. An upstream that had asked for a pause could so be overloaded again.

UpstreamNoticesTest failed without the change at 95 instances and 1,900 calls with "[u0, half second 4 after its pause] Expecting actual: 88 to be less than or equal to: 68", and at 350 instances and 3,500 calls in half second 0 with 62, bound 30. All ten upstreams together got 870 requests in the fifth half second when 1,000 callers of one instance waited.

All instances together now start with 20 requests a second, a rate that doubles every second after two seconds, as that of a limit that is not stated again does, and ends after seven. They take turns in the order of their positions.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamLimits.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamLimits.java
@@ -52,7 +52,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final RandomGenerator mRandom;
-    private final UpstreamPauses mPauses;
+    private final UpstreamPauses mPauses = new UpstreamPauses();
     private final Map<String, Limit> mLimits = new LinkedHashMap<>();
     private PeerView mPeers = PeerView.ALONE;
     private long mChanges;
@@ -64,7 +64,6 @@
      */
     public UpstreamLimits(RandomGenerator random) {
         mRandom = random;
-        mPauses = new UpstreamPauses(random);
     }
 
     /** Limit of one upstream process, and this instance's requests to it. */
@@ -116,7 +115,7 @@
      */
     public void recordPause(Upstream upstream, Duration pause, long nowNanos) {
         if (pause.isPositive()) {
-            mPauses.recordPause(upstream.process(), pause, mPeers.instances(), nowNanos);
+            mPauses.recordPause(upstream.process(), pause, nowNanos);
         }
     }
 
@@ -261,6 +260,7 @@
      */
     public void updatePeers(PeerView peers) {
         mPeers = peers;
+        mPauses.updatePeers(peers);
     }
 
     /**
@@ -357,7 +357,7 @@
      * @param nowNanos current time
      */
     public void recordSent(Upstream upstream, long nowNanos) {
-        mPauses.recordSent(upstream, mPeers.instances(), nowNanos);
+        mPauses.recordSent(upstream, nowNanos);
         Limit limit = mLimits.get(upstream.process());
         if (limit != null && !limit.isNone()) {
             double rate = limit.currentRate(nowNanos);
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamPauses.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamPauses.java
@@ -8,13 +8,14 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.random.RandomGenerator;
+import org.gentianwalk.core.policy.routing.Rendezvous;
 
 /**
  * The upstream processes that asked this instance to send nothing for a time, or nothing any more.
  *
- * <p>After a pause, requests start one by one for a while, at a rate that all instances share,
- * since the pauses of many instances may end at the same moment.
+ * <p>After a pause, requests start one by one for a while, at a rate that all instances share and
+ * that grows step by step, since the pauses of many instances may end at the same moment, and many
+ * requests may have waited for it.
  */
 final class UpstreamPauses {
     /**
@@ -23,11 +24,19 @@
      */
     static final Duration MAX_PAUSE = Duration.ofMinutes(10);
 
-    /** Time after a pause in which requests start one by one. */
-    private static final long RECOVERY_NANOS = Duration.ofSeconds(2).toNanos();
+    /** Requests a second of all instances together right after a pause. */
+    private static final double RECOVERY_RATE = 20;
 
-    /** Interval between two requests of all instances together after a pause. */
-    private static final long RECOVERY_INTERVAL_NANOS = Duration.ofMillis(50).toNanos();
+    /** Time after a pause in which that rate does not grow. */
+    private static final double STEADY_SECONDS = 2;
+
+    /** Time in which the rate doubles afterwards. */
+    private static final double DOUBLING_SECONDS = 1;
+
+    /** Time after a pause from which on the rate is not limited any more. */
+    private static final double RECOVERY_SECONDS = 7;
+
+    private static final double NANOS_PER_SECOND = 1e9;
 
     /** Time for which a process that announced its end is reported to other instances. */
     private static final long REPORT_NANOS = Duration.ofMillis(2_500).toNanos();
@@ -35,23 +44,24 @@
     /** Maximum number of processes that are kept, which bounds what wrong reports can add. */
     private static final int MAX_LEAVING = 4_096;
 
-    private final RandomGenerator mRandom;
     private final Map<String, Pause> mPauses = new HashMap<>();
     private final Map<String, Leaving> mLeaving = new HashMap<>();
-
-    UpstreamPauses(RandomGenerator random) {
-        mRandom = random;
-    }
+    private PeerView mPeers = PeerView.ALONE;
 
     /**
      * A pause and the recovery after it.
      *
      * @param until end of the pause
-     * @param nextAt earliest time of the next request
+     * @param next number of requests that this instance may have sent since the end of the pause
+     *     when it may send the next one
      */
-    private record Pause(long until, long nextAt) {
+    private record Pause(long until, double next) {
         boolean isOver(long nowNanos) {
-            return nowNanos - until >= RECOVERY_NANOS && nowNanos - nextAt >= 0;
+            return secondsSinceEnd(nowNanos) >= RECOVERY_SECONDS;
+        }
+
+        double secondsSinceEnd(long nowNanos) {
+            return (nowNanos - until) / NANOS_PER_SECOND;
         }
     }
 
@@ -63,18 +73,18 @@
      */
     private record Leaving(long at, boolean observed) {}
 
-    /**
-     * Records that a process wants no requests for a time.
-     *
-     * @param instances number of instances that share the rate after the pause
-     */
-    void recordPause(String process, Duration pause, int instances, long nowNanos) {
+    /** Updates the instances that share the rate after a pause. */
+    void updatePeers(PeerView peers) {
+        mPeers = peers;
+    }
+
+    /** Records that a process wants no requests for a time. */
+    void recordPause(String process, Duration pause, long nowNanos) {
         Duration bounded = pause.compareTo(MAX_PAUSE) > 0 ? MAX_PAUSE : pause;
         long until = nowNanos + bounded.toNanos();
         Pause known = mPauses.get(process);
         if (known == null || until - known.until() > 0) {
-            long interval = interval(instances);
-            mPauses.put(process, new Pause(until, until + mRandom.nextLong(interval)));
+            mPauses.put(process, new Pause(until, turn(process)));
         }
     }
 
@@ -135,28 +145,55 @@
             return OptionalLong.empty();
         }
         Pause pause = mPauses.get(upstream.process());
-        return OptionalLong.of(pause == null ? 0 : Math.max(0, pause.nextAt() - nowNanos));
+        if (pause == null || pause.isOver(nowNanos)) {
+            return OptionalLong.of(0);
+        }
+        long at = pause.until() + (long) Math.ceil(secondsUntil(pause.next()) * NANOS_PER_SECOND);
+        return OptionalLong.of(Math.max(0, at - nowNanos));
     }
 
-    void recordSent(Upstream upstream, int instances, long nowNanos) {
+    void recordSent(Upstream upstream, long nowNanos) {
         Pause pause = mPauses.get(upstream.process());
-        if (pause == null) {
-            return;
-        }
-        if (pause.isOver(nowNanos)) {
-            mPauses.remove(upstream.process());
-        } else {
+        if (pause != null) {
+            double permitted = permittedAfter(pause.secondsSinceEnd(nowNanos));
             mPauses.put(
-                    upstream.process(), new Pause(pause.until(), nowNanos + interval(instances)));
+                    upstream.process(),
+                    new Pause(pause.until(), Math.max(pause.next(), permitted) + 1));
+        }
+    }
+
+    /**
+     * Returns when this instance may send its first request after a pause, as a part of the time in
+     * which each instance may send one. The instances take turns in the order of their positions.
+     */
+    private double turn(String process) {
+        long instances = mPeers.instances();
+        long first = Math.floorMod(Rendezvous.hash(process), instances);
+        return (double) Math.floorMod(mPeers.position() - first, instances) / instances;
+    }
+
+    /** Returns the number of requests that this instance may send within a time after a pause. */
+    private double permittedAfter(double seconds) {
+        double steady = Math.clamp(seconds, 0, STEADY_SECONDS);
+        double growing = Math.clamp(seconds, STEADY_SECONDS, RECOVERY_SECONDS) - STEADY_SECONDS;
+        double doublings = growing / DOUBLING_SECONDS;
+        double time = steady + DOUBLING_SECONDS * (Math.pow(2, doublings) - 1) / Math.log(2);
+        return RECOVERY_RATE * time / mPeers.instances();
+    }
+
+    /** Returns the inverse of {@link #permittedAfter}, at most the time of the recovery. */
+    private double secondsUntil(double requests) {
+        double time = requests * mPeers.instances() / RECOVERY_RATE;
+        if (time <= STEADY_SECONDS) {
+            return time;
         }
+        double growth = 1 + (time - STEADY_SECONDS) * Math.log(2) / DOUBLING_SECONDS;
+        double seconds = STEADY_SECONDS + DOUBLING_SECONDS * Math.log(growth) / Math.log(2);
+        return Math.min(RECOVERY_SECONDS, seconds);
     }
 
     void expire(long nowNanos) {
         mPauses.values().removeIf(pause -> pause.isOver(nowNanos));
         mLeaving.values().removeIf(leaving -> nowNanos - leaving.at() > MAX_PAUSE.toNanos());
     }
-
-    private static long interval(int instances) {
-        return Math.min(RECOVERY_NANOS, RECOVERY_INTERVAL_NANOS * instances);
-    }
 }
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamNoticesTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamNoticesTest.java
@@ -94,6 +94,43 @@
         assertThat(fleet.servedWithin(SECOND)).isEqualTo(fleet.mOffered);
     }
 
+    /** What waited must not arrive at once, neither at the end of the pauses nor later. */
+    @ParameterizedTest
+    @CsvSource({"1, 100", "95, 20", "350, 10"})
+    void upstreamsAreNotFloodedWhenTheirPausesEndTogether(int instances, int calls) {
+        NoticeFleet fleet = new NoticeFleet(instances, UPSTREAMS, SEED);
+        long end = 3 * SECOND;
+        pause(fleet, UPSTREAMS, 0, end);
+        for (int i = 0; i < instances; i++) {
+            fleet.offer(i, calls, 0, 2 * SECOND);
+        }
+        fleet.run(40 * SECOND);
+        System.out.println(fleet.summary("all upstreams pause"));
+        List<Integer> total = new ArrayList<>();
+        for (int half = 0; half < 20; half++) {
+            long from = end + half * SECOND / 2;
+            total.add(
+                    fleet.upstreams().stream()
+                            .mapToInt(fake -> fake.arrivals(from, from + SECOND / 2))
+                            .sum());
+        }
+        System.out.println("  arrivals in each half second after the pauses: " + total);
+
+        assertThat(fleet.requestsInBreachOfPauses()).isZero();
+        assertThat(fleet.mServed).hasSize(fleet.mOffered);
+        for (FakeUpstream fake : fleet.upstreams()) {
+            int before = RECOVERY_RATE / 2;
+            for (int half = 0; half < 20; half++) {
+                long from = end + half * SECOND / 2;
+                int arrived = fake.arrivals(from, from + SECOND / 2);
+                assertThat(arrived)
+                        .as("%s, half second %d after its pause", fake.mUpstream.id(), half)
+                        .isLessThanOrEqualTo(2 * before + RECOVERY_RATE / 2);
+                before = Math.max(before, arrived);
+            }
+        }
+    }
+
     private static void pause(NoticeFleet fleet, int upstreams, long from, long until) {
         for (FakeUpstream fake : fleet.upstreams().subList(0, upstreams)) {
             fake.mPauseFrom = from;
