Spread callers that come back after a pause

All callers that an instance refused while its upstreams paused were told the same moment to come back. Then one of them was served by each upstream and the others were refused again, together, every 150 ms until the end of the recovery, when all the rest reached the upstreams at once.

UpstreamNoticesTest failed without the change: "[callers back within the same 50 ms] Expecting actual: 1000 to be less than or equal to: 100" for 1,000 calls and for 1,000 generations, and "[u0, half second 14 after its pause] Expecting actual: 54 to be less than or equal to: 30" when pauses of ten upstreams ended before 1,000 callers of one instance.

Each refusal now takes the next place in the order in which requests may start after the pause. The time is rounded up to milliseconds, as the header has it: callers that came a part of one too early lost their place. Once places are given until the end of the recovery, further callers come between them.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -284,7 +284,7 @@
         CallTarget target = chooseTarget(call, nowNanos);
         if (target == null) {
             Ending ending = call.mExecutions == 0 ? Ending.REFUSED : Ending.UNKNOWN;
-            Duration limitWait = shortestLimitWait(nowNanos);
+            Duration limitWait = reserveRetry(nowNanos);
             if (limitWait == null) {
                 finish(call, ending, NO_UPSTREAM_RETRY, "no usable upstream", nowNanos);
             } else {
@@ -351,22 +351,26 @@
     }
 
     /**
-     * Returns the time until an upstream may get another call, or null when none is usable. Other
-     * instances may still have a part of the limits, so a retry need not wait for this one's.
+     * Returns the time after which a refused call should come back, or null when no upstream is
+     * usable. Other instances may still have a part of the limits, so a retry need not wait for
+     * this one's.
      */
-    private @Nullable Duration shortestLimitWait(long nowNanos) {
-        Duration shortest = null;
+    private @Nullable Duration reserveRetry(long nowNanos) {
+        List<Upstream> upstreams = new ArrayList<>();
         for (CallTarget target : mTargets.values()) {
-            if (!target.isUsable() || mLimits.isLeaving(target.upstream())) {
+            Upstream upstream = target.upstream();
+            if (!target.isUsable() || mLimits.isLeaving(upstream)) {
                 continue;
             }
-            OptionalLong wait = mLimits.waitNanos(target.upstream(), nowNanos);
-            Duration retry = wait.isEmpty() ? FULL_RETRY : Duration.ofNanos(wait.getAsLong());
-            if (shortest == null || retry.compareTo(shortest) < 0) {
-                shortest = retry;
+            if (mLimits.waitNanos(upstream, nowNanos).isEmpty()) {
+                return FULL_RETRY;
             }
+            upstreams.add(upstream);
         }
-        return shortest == null || shortest.compareTo(FULL_RETRY) > 0 ? shortest : FULL_RETRY;
+        OptionalLong wait = mLimits.reserveRetry(upstreams, nowNanos);
+        return wait.isEmpty()
+                ? null
+                : Duration.ofNanos(Math.max(wait.getAsLong(), FULL_RETRY.toNanos()));
     }
 
     /** Returns the cost of a target, milliseconds; ties are broken at random. */
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
@@ -161,6 +161,13 @@
         return shortest == Long.MAX_VALUE ? 0 : shortest;
     }
 
+    /** Returns the time after which a refused request should come back, nanoseconds. */
+    long reserveRetry(long nowNanos) {
+        List<Upstream> upstreams =
+                usableEngines(nowNanos).stream().map(EngineState::upstream).toList();
+        return mLimits.reserveRetry(upstreams, nowNanos).orElse(0);
+    }
+
     /** Returns the engine in another zone that is to keep a copy and can take over, or null. */
     @Nullable EngineState selectCopyHolder(EngineState engine, StreamRun run, long nowNanos) {
         EngineState best = null;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -458,7 +458,8 @@
         long wait = mSelector.shortestWaitNanos(nowNanos);
         if (wait > 0 && nowNanos + wait - run.work().deadlineNanos() >= 0) {
             Ending ending = run.executions() == 0 ? Ending.REFUSED : Ending.UNKNOWN;
-            finish(run, ending, Duration.ofNanos(wait), "all engines want no requests for a time");
+            Duration retry = Duration.ofNanos(mSelector.reserveRetry(nowNanos));
+            finish(run, ending, retry, "all engines want no requests for a time");
         }
     }
 
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamLimits.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamLimits.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -52,7 +53,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final RandomGenerator mRandom;
-    private final UpstreamPauses mPauses = new UpstreamPauses();
+    private final UpstreamPauses mPauses;
     private final Map<String, Limit> mLimits = new LinkedHashMap<>();
     private PeerView mPeers = PeerView.ALONE;
     private long mChanges;
@@ -64,6 +65,7 @@
      */
     public UpstreamLimits(RandomGenerator random) {
         mRandom = random;
+        mPauses = new UpstreamPauses(random);
     }
 
     /** Limit of one upstream process, and this instance's requests to it. */
@@ -334,6 +336,36 @@
                 : OptionalLong.of(Math.max(pause.getAsLong(), limit.getAsLong()));
     }
 
+    /**
+     * Returns the time after which a caller that is refused should come back. Callers that are told
+     * so one after the other come back one after the other, as requests may start after pauses.
+     *
+     * @param upstreams the upstreams that could run the request later
+     * @param nowNanos current time
+     * @return nanoseconds; empty when this instance may use none of the upstreams
+     */
+    public OptionalLong reserveRetry(Collection<Upstream> upstreams, long nowNanos) {
+        Upstream first = null;
+        long shortest = 0;
+        for (Upstream upstream : upstreams) {
+            OptionalLong wait = waitNanos(upstream, nowNanos);
+            if (wait.isEmpty()) {
+                continue;
+            }
+            long retry = Math.max(wait.getAsLong(), mPauses.retryNanos(upstream, nowNanos));
+            if (first == null || retry < shortest) {
+                first = upstream;
+                shortest = retry;
+            }
+        }
+        if (first == null) {
+            return OptionalLong.empty();
+        }
+        mPauses.recordRetry(first, nowNanos);
+        // Callers learn it in milliseconds, and would be refused again if they came too early.
+        return OptionalLong.of(Math.ceilDiv(shortest, NANOS_PER_MILLI) * NANOS_PER_MILLI);
+    }
+
     private OptionalLong limitWaitNanos(Upstream upstream, long nowNanos) {
         Limit limit = mLimits.get(upstream.process());
         if (limit == null || limit.isNone()) {
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamPauses.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamPauses.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 import org.gentianwalk.core.policy.routing.Rendezvous;
 
 /**
@@ -36,6 +37,12 @@
     /** Time after a pause from which on the rate is not limited any more. */
     private static final double RECOVERY_SECONDS = 7;
 
+    /**
+     * Requests that may follow one another immediately, so that a caller that comes back a little
+     * late does not delay the next one.
+     */
+    private static final double BURST = 1;
+
     private static final double NANOS_PER_SECOND = 1e9;
 
     /** Time for which a process that announced its end is reported to other instances. */
@@ -46,16 +53,27 @@
 
     private final Map<String, Pause> mPauses = new HashMap<>();
     private final Map<String, Leaving> mLeaving = new HashMap<>();
+    private final RandomGenerator mRandom;
     private PeerView mPeers = PeerView.ALONE;
 
+    /**
+     * Creates an object without pauses.
+     *
+     * @param random source of randomness for the times after which callers come back
+     */
+    UpstreamPauses(RandomGenerator random) {
+        mRandom = random;
+    }
+
     /**
      * A pause and the recovery after it.
      *
      * @param until end of the pause
      * @param next number of requests that this instance may have sent since the end of the pause
      *     when it may send the next one
+     * @param place the same for the next caller that is told to come back
      */
-    private record Pause(long until, double next) {
+    private record Pause(long until, double next, double place) {
         boolean isOver(long nowNanos) {
             return secondsSinceEnd(nowNanos) >= RECOVERY_SECONDS;
         }
@@ -84,7 +102,8 @@
         long until = nowNanos + bounded.toNanos();
         Pause known = mPauses.get(process);
         if (known == null || until - known.until() > 0) {
-            mPauses.put(process, new Pause(until, turn(process)));
+            double turn = turn(process);
+            mPauses.put(process, new Pause(until, turn, turn));
         }
     }
 
@@ -145,21 +164,57 @@
             return OptionalLong.empty();
         }
         Pause pause = mPauses.get(upstream.process());
-        if (pause == null || pause.isOver(nowNanos)) {
-            return OptionalLong.of(0);
+        return OptionalLong.of(pause == null ? 0 : waitNanos(pause, pause.next(), nowNanos));
+    }
+
+    /**
+     * Returns the time after which the next caller that is refused should come back: as many
+     * callers come back as requests may start by then.
+     */
+    long retryNanos(Upstream upstream, long nowNanos) {
+        Pause pause = mPauses.get(upstream.process());
+        return pause == null ? 0 : waitNanos(pause, place(pause, nowNanos), nowNanos);
+    }
+
+    /**
+     * Records that a caller was told to come back after {@link #retryNanos}. Once callers come back
+     * until the end of the recovery, further ones come back between them.
+     */
+    void recordRetry(Upstream upstream, long nowNanos) {
+        Pause pause = mPauses.get(upstream.process());
+        if (pause != null) {
+            double next = place(pause, nowNanos) + 1;
+            double place =
+                    next <= permittedAfter(RECOVERY_SECONDS)
+                            ? next
+                            : firstPlace(pause, nowNanos) + mRandom.nextDouble();
+            mPauses.put(upstream.process(), new Pause(pause.until(), pause.next(), place));
         }
-        long at = pause.until() + (long) Math.ceil(secondsUntil(pause.next()) * NANOS_PER_SECOND);
-        return OptionalLong.of(Math.max(0, at - nowNanos));
     }
 
     void recordSent(Upstream upstream, long nowNanos) {
         Pause pause = mPauses.get(upstream.process());
         if (pause != null) {
             double permitted = permittedAfter(pause.secondsSinceEnd(nowNanos));
-            mPauses.put(
-                    upstream.process(),
-                    new Pause(pause.until(), Math.max(pause.next(), permitted) + 1));
+            double next = Math.max(pause.next(), permitted - BURST) + 1;
+            mPauses.put(upstream.process(), new Pause(pause.until(), next, pause.place()));
+        }
+    }
+
+    private double place(Pause pause, long nowNanos) {
+        return Math.max(pause.place(), firstPlace(pause, nowNanos));
+    }
+
+    private double firstPlace(Pause pause, long nowNanos) {
+        return Math.max(pause.next(), permittedAfter(pause.secondsSinceEnd(nowNanos)));
+    }
+
+    private long waitNanos(Pause pause, double requests, long nowNanos) {
+        if (pause.isOver(nowNanos)) {
+            return 0;
         }
+        long since = (long) Math.ceil(secondsUntil(requests) * NANOS_PER_SECOND);
+        return Math.max(0, pause.until() + since - nowNanos);
     }
 
     /**
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamNoticesTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamNoticesTest.java
@@ -7,10 +7,18 @@
 import static org.gentianwalk.core.dispatch.Samples.starts;
 import static org.gentianwalk.core.dispatch.Samples.upstream;
 
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.gentianwalk.core.dispatch.Decision.Ending;
 import org.gentianwalk.core.dispatch.NoticeFleet.FakeUpstream;
 import org.gentianwalk.core.dispatch.NoticeFleet.Instance;
+import org.gentianwalk.core.route.RequestKind;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -94,9 +102,62 @@
         assertThat(fleet.servedWithin(SECOND)).isEqualTo(fleet.mOffered);
     }
 
+    /** Callers that all come back in the same moment are refused again, or flood the upstreams. */
+    @ParameterizedTest
+    @ValueSource(ints = {10, 100, 1_000})
+    void callsRefusedDuringPausesComeBackSpread(int calls) {
+        UpstreamLimits limits = Samples.limits();
+        CallScheduler scheduler = Samples.callScheduler(limits);
+        listEngines(UPSTREAMS);
+        scheduler.replaceUpstreams(mEngines, 0);
+        mEngines.forEach(engine -> limits.recordPause(engine, Duration.ofSeconds(3), 0));
+        for (int id = 1; id <= calls; id++) {
+            scheduler.offer(Samples.call(id, RequestKind.SINGLE_CALL, 1, MS), MS);
+        }
+        List<Decision.Finish> refusals = finishes(scheduler.advance(MS));
+
+        assertThat(refusals).hasSize(calls);
+        assertSpread(refusals, Duration.ofMillis(2_999));
+    }
+
+    /** Waiting for a pause that ends after the deadline would only delay the caller. */
+    @ParameterizedTest
+    @ValueSource(ints = {10, 100, 1_000})
+    void generationsThatWaitAreRefusedAtOnceAndComeBackSpread(int waiting) {
+        UpstreamLimits limits = Samples.limits();
+        StreamScheduler scheduler = Samples.streamScheduler(limits);
+        listEngines(UPSTREAMS);
+        scheduler.replaceUpstreams(mEngines, 0);
+        // Generations wait for the end of a short pause, until a longer one is asked for.
+        mEngines.forEach(engine -> limits.recordPause(engine, Duration.ofSeconds(1), 0));
+        for (int id = 1; id <= waiting; id++) {
+            scheduler.offer(Samples.stream(id, 1, 100, 0), 0);
+        }
+        assertThat(scheduler.advance(0)).isEmpty();
+        mEngines.forEach(engine -> limits.recordPause(engine, Duration.ofSeconds(60), MS));
+        List<Decision.Finish> refusals = finishes(scheduler.advance(MS));
+
+        assertThat(refusals).hasSize(waiting);
+        assertThat(refusals).allMatch(refusal -> refusal.ending() == Ending.REFUSED);
+        assertSpread(refusals, Duration.ofSeconds(60));
+    }
+
+    /** Checks that the first caller may come back early, and few in the same moment. */
+    private static void assertSpread(List<Decision.Finish> refusals, Duration pause) {
+        List<Duration> times = refusals.stream().map(Decision.Finish::retryAfter).sorted().toList();
+        assertThat(times.getFirst()).isBetween(pause, pause.plusMillis(100));
+        assertThat(times.getLast()).isLessThan(pause.plusSeconds(10));
+        Map<Long, Integer> perMoment = new HashMap<>();
+        times.forEach(time -> perMoment.merge(time.toMillis() / 50, 1, Integer::sum));
+        // All upstreams together accept 10 in 50 ms at first.
+        assertThat(Collections.max(perMoment.values()))
+                .as("callers back within the same 50 ms")
+                .isLessThanOrEqualTo(Math.max(2 * UPSTREAMS, refusals.size() / 10));
+    }
+
     /** What waited must not arrive at once, neither at the end of the pauses nor later. */
     @ParameterizedTest
-    @CsvSource({"1, 100", "95, 20", "350, 10"})
+    @CsvSource({"1, 100", "1, 1000", "95, 20", "350, 10"})
     void upstreamsAreNotFloodedWhenTheirPausesEndTogether(int instances, int calls) {
         NoticeFleet fleet = new NoticeFleet(instances, UPSTREAMS, SEED);
         long end = 3 * SECOND;
@@ -138,6 +199,31 @@
         }
     }
 
+    /** With many instances, each may start only a few requests during the recovery. */
+    @Test
+    void callsComeBackSpreadWhenManyInstancesShareTheRecovery() {
+        UpstreamLimits limits = Samples.limits();
+        Set<String> peers = new HashSet<>();
+        for (int i = 1; i < 350; i++) {
+            peers.add("peer-" + i);
+        }
+        limits.updatePeers(new PeerView(peers, 0));
+        CallScheduler scheduler = Samples.callScheduler(limits);
+        listEngines(UPSTREAMS);
+        scheduler.replaceUpstreams(mEngines, 0);
+        mEngines.forEach(engine -> limits.recordPause(engine, Duration.ofSeconds(3), 0));
+        for (int id = 1; id <= 1_000; id++) {
+            scheduler.offer(Samples.call(id, RequestKind.SINGLE_CALL, 1, 0), 0);
+        }
+        List<Duration> times =
+                finishes(scheduler.advance(0)).stream().map(Decision.Finish::retryAfter).toList();
+
+        Map<Long, Integer> perMoment = new HashMap<>();
+        times.forEach(time -> perMoment.merge(time.toMillis() / 50, 1, Integer::sum));
+        assertThat(times).allMatch(time -> time.toMillis() >= 3_000 && time.toMillis() < 13_000);
+        assertThat(Collections.max(perMoment.values())).isLessThanOrEqualTo(100);
+    }
+
     /** Generations in progress finish; those that wait start at another engine, none is refused. */
     @ParameterizedTest
     @ValueSource(ints = {10, 100, 1_000})
