State the pause to callers that all upstreams rejected

The rejections with which upstreams ask for a pause ended a request that had no attempt left with 150 ms (calls) or 500 ms (generations), whatever the pause. The callers came back during it, and all in the same moment.

The tests failed without the change: "Expecting actual: 0.15S to be greater than or equal to: 5S" for a call that four upstreams rejected, and "Expecting actual: 0.5S" for a generation that eight engines rejected. (The bounds are the pauses less the time since they were asked for, 4.997 s and 4.993 s.)

Both now take a place after the shortest pause, as requests do that find all upstreams pausing. A test of the millisecond to which the place is rounded up is added; it catches a time that is rounded down.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -233,7 +233,9 @@
         }
         if (!retry) {
             Ending ending = call.mExecutions == 0 ? Ending.REFUSED : Ending.UNKNOWN;
-            finish(call, ending, FULL_RETRY, "no upstream has capacity for the call", nowNanos);
+            Duration limitWait = reserveRetry(nowNanos);
+            Duration wait = limitWait == null ? FULL_RETRY : limitWait;
+            finish(call, ending, wait, "no upstream has capacity for the call", nowNanos);
         }
     }
 
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -250,7 +250,9 @@
                     end == AttemptEnd.ANSWERED_ERROR
                             ? Ending.UPSTREAM_ERROR
                             : run.executions() == 0 ? Ending.REFUSED : Ending.UNKNOWN;
-            finish(run, ending, NO_ENGINE_RETRY, "no retry is allowed");
+            Duration wait = Duration.ofNanos(mSelector.reserveRetry(nowNanos));
+            Duration retry = wait.compareTo(NO_ENGINE_RETRY) > 0 ? wait : NO_ENGINE_RETRY;
+            finish(run, ending, retry, "no retry is allowed");
         } else if (copyHolder != null) {
             MemoryCopy copy =
                     new MemoryCopy(copyHolder.upstream().address(), run.work().requestId());
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamNoticesTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamNoticesTest.java
@@ -155,6 +155,63 @@
                 .isLessThanOrEqualTo(Math.max(2 * UPSTREAMS, refusals.size() / 10));
     }
 
+    /** The first rejections of all upstreams are the notice; their callers need a true time too. */
+    @Test
+    void aCallThatAllUpstreamsRejectedLearnsTheirPause() {
+        UpstreamLimits limits = Samples.limits();
+        CallScheduler scheduler = Samples.callScheduler(limits);
+        listEngines(4);
+        scheduler.replaceUpstreams(mEngines, 0);
+        scheduler.offer(Samples.call(1, RequestKind.SINGLE_CALL, 1, 0), 0);
+        for (int attempt = 1; attempt <= 4; attempt++) {
+            Decision.Start start = starts(scheduler.advance(attempt * MS)).getFirst();
+            limits.recordPause(start.upstream(), Duration.ofSeconds(5), attempt * MS);
+            scheduler.recordAttemptEnd(1, attempt, AttemptEnd.REJECTED, attempt * MS);
+        }
+        List<Decision.Finish> refusals = finishes(scheduler.advance(5 * MS));
+
+        // The first pause was asked for 3 ms before.
+        assertThat(refusals.getFirst().retryAfter())
+                .isGreaterThanOrEqualTo(Duration.ofMillis(4_997));
+    }
+
+    /** A generation that no engine accepts any more learns the time as well. */
+    @Test
+    void aGenerationThatTooManyEnginesRejectedLearnsTheirPause() {
+        UpstreamLimits limits = Samples.limits();
+        StreamScheduler scheduler = Samples.streamScheduler(limits);
+        listEngines(8);
+        scheduler.replaceUpstreams(mEngines, 0);
+        scheduler.offer(Samples.stream(1, 1, 100, 0), 0);
+        for (int attempt = 1; attempt <= 8; attempt++) {
+            Decision.Start start = starts(scheduler.advance(attempt * MS)).getFirst();
+            limits.recordPause(start.upstream(), Duration.ofSeconds(5), attempt * MS);
+            scheduler.recordAttemptEnd(1, attempt, AttemptEnd.REJECTED, attempt * MS);
+        }
+        List<Decision.Finish> refusals = finishes(scheduler.advance(9 * MS));
+
+        assertThat(refusals).hasSize(1);
+        // The first pause was asked for 7 ms before.
+        assertThat(refusals.getFirst().retryAfter())
+                .isGreaterThanOrEqualTo(Duration.ofMillis(4_993));
+    }
+
+    /** The header has milliseconds; a caller that keeps to it must not come too early. */
+    @Test
+    void aCallerThatComesBackAtTheStatedMillisecondIsServed() {
+        UpstreamLimits limits = Samples.limits();
+        CallScheduler scheduler = Samples.callScheduler(limits);
+        listEngines(1);
+        scheduler.replaceUpstreams(mEngines, 0);
+        limits.recordPause(mEngines.getFirst(), Duration.ofNanos(2_000_400_000L), 0);
+        scheduler.offer(Samples.call(1, RequestKind.SINGLE_CALL, 1, 0), 0);
+        Decision.Finish refusal = finishes(scheduler.advance(0)).getFirst();
+        long back = refusal.retryAfter().toMillis() * MS;
+        scheduler.offer(Samples.call(2, RequestKind.SINGLE_CALL, 1, back), back);
+
+        assertThat(starts(scheduler.advance(back))).hasSize(1);
+    }
+
     /** What waited must not arrive at once, neither at the end of the pauses nor later. */
     @ParameterizedTest
     @CsvSource({"1, 100", "1, 1000", "95, 20", "350, 10"})
