Keep no copies at engines that pause

An engine that had asked for a pause was still chosen to receive the copy of a generation's KV cache, which is work for it, and it could not take over during the pause either.

UpstreamNoticesTest failed without the change: "expected: null but was: Upstream[id=e1, ..." as the holder of the copy, where all other engines paused.

The choice now passes over pausing engines as it does over leaving ones.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
@@ -229,6 +229,7 @@
         return fill <= MEMORY_FRACTION
                 && engine.running() < mSpec.slots()
                 && !mLimits.isLeaving(engine.upstream())
+                && !mLimits.isPausing(engine.upstream(), nowNanos)
                 && mEngineView.isUsable(engine, nowNanos);
     }
 
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamNoticesTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamNoticesTest.java
@@ -313,6 +313,20 @@
         assertThat(started).hasSizeGreaterThanOrEqualTo(Math.min(3, waiting - before.size()));
     }
 
+    /** A copy that an engine has to receive is work as well. */
+    @Test
+    void aPausingEngineGetsNoCopies() {
+        UpstreamLimits limits = Samples.limits();
+        StreamScheduler scheduler = Samples.streamScheduler(limits);
+        listEngines(4);
+        scheduler.replaceUpstreams(mEngines, 0);
+        mEngines.subList(1, 4)
+                .forEach(engine -> limits.recordPause(engine, Duration.ofSeconds(5), 0));
+        scheduler.offer(Samples.stream(1, 1, 100, 0), 0);
+
+        assertThat(starts(scheduler.advance(0)).getFirst().copyHolder()).isNull();
+    }
+
     /** Reports are repeated and delayed, and must not affect the successor of the process. */
     @ParameterizedTest
     @ValueSource(ints = {95, 350})
