Fetch no prompts from engines that leave or pause

A generation's engine was told to fetch the cached prompt from the engine that has it, also when that one had announced its end or had asked for a pause. An engine that fetches from one that ends blocks, and is diagnosed as lost too.

UpstreamNoticesTest failed without the change, for both cases: "expected: null but was: Upstream[id=e0, ..." as the engine to fetch from.

Such an engine does not count as holder of the cache any more. A resumed generation then asks the other engines for the prompt.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
@@ -110,7 +110,7 @@
     @Nullable EngineState select(StreamRun run, long nowNanos) {
         EngineState best = null;
         double bestCost = 0;
-        EngineState cacheHolder = mEngineView.cacheHolder(run.part(), nowNanos);
+        EngineState cacheHolder = cacheHolder(run, nowNanos);
         long maxDelay = maxDelayNanos(run, nowNanos);
         List<EngineState> usable = usableEngines(nowNanos);
         double ringCost = RING_COST * run.promptTokens() / mSpeed.prefillTokensPerNano();
@@ -148,6 +148,19 @@
         return best;
     }
 
+    /**
+     * Returns the engine from which others may fetch the cached prompt of a run, or null. One that
+     * pauses wants no work, and one that leaves may end meanwhile, which would block the fetch.
+     */
+    @Nullable EngineState cacheHolder(StreamRun run, long nowNanos) {
+        EngineState holder = mEngineView.cacheHolder(run.part(), nowNanos);
+        return holder == null
+                        || mLimits.isLeaving(holder.upstream())
+                        || mLimits.isPausing(holder.upstream(), nowNanos)
+                ? null
+                : holder;
+    }
+
     /**
      * Returns the shortest time until an engine accepts a request, nanoseconds; 0 when that is
      * unknown.
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -125,7 +125,7 @@
         StreamRun run = new StreamRun(work);
         mRuns.put(work.id(), run);
         mWaiting.add(run);
-        if (work.eventsSeen() > 0 && mEngineView.cacheHolder(run.part(), nowNanos) == null) {
+        if (work.eventsSeen() > 0 && mSelector.cacheHolder(run, nowNanos) == null) {
             queryCaches(run, nowNanos);
         }
         dispatch(nowNanos);
@@ -143,7 +143,7 @@
         parts.forEach(part -> mEngineView.recordCachedPart(part, engine.id()));
         mOpenCacheQueries--;
         for (StreamRun run : mWaiting) {
-            if (mOpenCacheQueries == 0 || mEngineView.cacheHolder(run.part(), nowNanos) != null) {
+            if (mOpenCacheQueries == 0 || mSelector.cacheHolder(run, nowNanos) != null) {
                 run.endCacheWait();
             }
         }
@@ -488,8 +488,7 @@
         boolean copies = mSpec.keepsCopies() && run.work().kind().isRepeatable();
         EngineState copyHolder = copies ? mSelector.selectCopyHolder(engine, run, nowNanos) : null;
         long backlog = engine.backlog(mSpeed.prefillTokensPerNano(), nowNanos);
-        EngineState cacheHolder =
-                copy == null ? mEngineView.cacheHolder(run.part(), nowNanos) : null;
+        EngineState cacheHolder = copy == null ? mSelector.cacheHolder(run, nowNanos) : null;
         int prefillTokens = copy == null && cacheHolder == null ? run.promptTokens() : 0;
         String prefix = run.previousEnd().isEmpty() ? "" : "after " + run.previousEnd() + ": ";
         String explanation = prefix + reason + "; " + describe(engine, backlog);
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamNoticesTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamNoticesTest.java
@@ -327,6 +327,30 @@
         assertThat(starts(scheduler.advance(0)).getFirst().copyHolder()).isNull();
     }
 
+    /** An engine that fetches a prompt from one that ends meanwhile blocks. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void noPromptIsFetchedFromAnEngineThatLeavesOrPauses(boolean leaves) {
+        UpstreamLimits limits = Samples.limits();
+        StreamScheduler scheduler = Samples.streamScheduler(limits);
+        listEngines(2);
+        scheduler.replaceUpstreams(mEngines, 0);
+        scheduler.offer(Samples.stream(1, 1, 8_000, 0), 0);
+        Upstream holder = starts(scheduler.advance(0)).getFirst().upstream();
+        scheduler.recordProgress(1, 1, new Progress(1, SECOND, 0));
+        scheduler.recordAttemptEnd(1, 1, AttemptEnd.SUCCEEDED, SECOND);
+        if (leaves) {
+            limits.recordLeaving(holder, SECOND);
+        } else {
+            limits.recordPause(holder, Duration.ofSeconds(5), SECOND);
+        }
+        scheduler.offer(Samples.stream(1, 1, 8_000, SECOND), SECOND);
+        Decision.Start second = starts(scheduler.advance(SECOND)).getFirst();
+
+        assertThat(second.upstream()).isNotEqualTo(holder);
+        assertThat(second.fetchFrom()).isNull();
+    }
+
     /** Reports are repeated and delayed, and must not affect the successor of the process. */
     @ParameterizedTest
     @ValueSource(ints = {95, 350})
