Respect an announced end after many false reports

The number of processes that have announced their end is bounded, so that wrong reports of another instance cannot fill the memory. Once they had filled the table, an announcement that an upstream made to this instance itself was dropped, and requests went on.

UpstreamNoticesTest failed without the change: "Expecting value to be true but was false" for an announcement after 100,000 false reports.

The bound now holds for reports only. Announcements to this instance come from listed upstreams, whose number is bounded.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamPauses.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamPauses.java
@@ -48,7 +48,7 @@
     /** Time for which a process that announced its end is reported to other instances. */
     private static final long REPORT_NANOS = Duration.ofMillis(2_500).toNanos();
 
-    /** Maximum number of processes that are kept, which bounds what wrong reports can add. */
+    /** Number of processes from which on further ones that are only reported are not kept. */
     private static final int MAX_LEAVING = 4_096;
 
     private final Map<String, Pause> mPauses = new HashMap<>();
@@ -115,7 +115,7 @@
      */
     boolean recordLeaving(String process, boolean observed, long nowNanos) {
         Leaving known = mLeaving.get(process);
-        if (known == null && mLeaving.size() >= MAX_LEAVING) {
+        if (known == null && !observed && mLeaving.size() >= MAX_LEAVING) {
             return false;
         }
         if (known == null || observed && !known.observed()) {
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamNoticesTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamNoticesTest.java
@@ -374,6 +374,23 @@
         }
     }
 
+    /** A peer's false reports must not hide what an upstream states itself. */
+    @Test
+    void anAnnouncementIsRespectedAfterManyFalseReports() {
+        UpstreamLimits limits = Samples.limits();
+        List<String> many = new ArrayList<>();
+        for (int i = 0; i < 100_000; i++) {
+            many.add("process-" + i);
+        }
+        limits.mergeLeaving(many, 0);
+        Upstream leaving = upstream("leaving", "a");
+
+        assertThat(limits.recordLeaving(leaving, MS)).isTrue();
+        assertThat(limits.isPermitted(leaving, MS)).isFalse();
+        assertThat(limits.recentlyLeaving(MS)).containsExactly(leaving.process());
+        assertThat(limits.closedProcesses(MS)).hasSizeLessThan(5_000);
+    }
+
     /** A false report costs one upstream for a bounded time and does not spread. */
     @Test
     void aFalseReportEndsByItself() {
