--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
@@ -110,7 +110,7 @@
     @Nullable EngineState select(StreamRun run, long nowNanos) {
         EngineState best = null;
         double bestCost = 0;
-        EngineState cacheHolder = mEngineView.cacheHolder(run.part(), nowNanos);
+        EngineState cacheHolder = cacheHolder(run, nowNanos);
         long maxDelay = maxDelayNanos(run, nowNanos);
         List<EngineState> usable = usableEngines(nowNanos);
         double ringCost = RING_COST * run.promptTokens() / mSpeed.prefillTokensPerNano();
@@ -148,6 +148,19 @@
         return best;
     }
 
+    /**
+     * Returns the engine from which others may fetch the cached prompt of a run, or null. One that
+     * pauses wants no work, and one that leaves may end meanwhile, which would block the fetch.
+     */
+    @Nullable EngineState cacheHolder(StreamRun run, long nowNanos) {
+        EngineState holder = mEngineView.cacheHolder(run.part(), nowNanos);
+        return holder == null
+                        || mLimits.isLeaving(holder.upstream())
+                        || mLimits.isPausing(holder.upstream(), nowNanos)
+                ? null
+                : holder;
+    }
+
     /**
      * Returns the shortest time until an engine accepts a request, nanoseconds; 0 when that is
      * unknown.
@@ -161,6 +174,13 @@
         return shortest == Long.MAX_VALUE ? 0 : shortest;
     }
 
+    /** Returns the time after which a refused request should come back, nanoseconds. */
+    long reserveRetry(long nowNanos) {
+        List<Upstream> upstreams =
+                usableEngines(nowNanos).stream().map(EngineState::upstream).toList();
+        return mLimits.reserveRetry(upstreams, nowNanos).orElse(0);
+    }
+
     /** Returns the engine in another zone that is to keep a copy and can take over, or null. */
     @Nullable EngineState selectCopyHolder(EngineState engine, StreamRun run, long nowNanos) {
         EngineState best = null;
@@ -222,6 +242,7 @@
         return fill <= MEMORY_FRACTION
                 && engine.running() < mSpec.slots()
                 && !mLimits.isLeaving(engine.upstream())
+                && !mLimits.isPausing(engine.upstream(), nowNanos)
                 && mEngineView.isUsable(engine, nowNanos);
     }
 
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -125,7 +125,7 @@
         StreamRun run = new StreamRun(work);
         mRuns.put(work.id(), run);
         mWaiting.add(run);
-        if (work.eventsSeen() > 0 && mEngineView.cacheHolder(run.part(), nowNanos) == null) {
+        if (work.eventsSeen() > 0 && mSelector.cacheHolder(run, nowNanos) == null) {
             queryCaches(run, nowNanos);
         }
         dispatch(nowNanos);
@@ -143,7 +143,7 @@
         parts.forEach(part -> mEngineView.recordCachedPart(part, engine.id()));
         mOpenCacheQueries--;
         for (StreamRun run : mWaiting) {
-            if (mOpenCacheQueries == 0 || mEngineView.cacheHolder(run.part(), nowNanos) != null) {
+            if (mOpenCacheQueries == 0 || mSelector.cacheHolder(run, nowNanos) != null) {
                 run.endCacheWait();
             }
         }
@@ -251,7 +251,9 @@
                     end == AttemptEnd.ANSWERED_ERROR
                             ? Ending.UPSTREAM_ERROR
                             : run.executions() == 0 ? Ending.REFUSED : Ending.UNKNOWN;
-            finish(run, ending, NO_ENGINE_RETRY, "no retry is allowed");
+            Duration wait = Duration.ofNanos(mSelector.reserveRetry(nowNanos));
+            Duration retry = wait.compareTo(NO_ENGINE_RETRY) > 0 ? wait : NO_ENGINE_RETRY;
+            finish(run, ending, retry, "no retry is allowed");
         } else if (copyHolder != null) {
             MemoryCopy copy =
                     new MemoryCopy(copyHolder.upstream().address(), run.work().requestId());
@@ -464,7 +466,8 @@
         long wait = mSelector.shortestWaitNanos(nowNanos);
         if (wait > 0 && nowNanos + wait - run.work().deadlineNanos() >= 0) {
             Ending ending = run.executions() == 0 ? Ending.REFUSED : Ending.UNKNOWN;
-            finish(run, ending, Duration.ofNanos(wait), "all engines want no requests for a time");
+            Duration retry = Duration.ofNanos(mSelector.reserveRetry(nowNanos));
+            finish(run, ending, retry, "all engines want no requests for a time");
         }
     }
 
@@ -491,8 +494,7 @@
         boolean copies = mSpec.keepsCopies() && run.work().kind().isRepeatable();
         EngineState copyHolder = copies ? mSelector.selectCopyHolder(engine, run, nowNanos) : null;
         long backlog = engine.backlog(mSpeed.prefillTokensPerNano(), nowNanos);
-        EngineState cacheHolder =
-                copy == null ? mEngineView.cacheHolder(run.part(), nowNanos) : null;
+        EngineState cacheHolder = copy == null ? mSelector.cacheHolder(run, nowNanos) : null;
         int prefillTokens = copy == null && cacheHolder == null ? run.promptTokens() : 0;
         String prefix = run.previousEnd().isEmpty() ? "" : "after " + run.previousEnd() + ": ";
         String explanation = prefix + reason + "; " + describe(engine, backlog);
