Send no generation whose deadline has passed

A request whose deadline passed while its body was being read, or while it waited for the control thread, was sent to an engine and cancelled at once: its caller got 504 for a request that could have been refused as not run, and the engine began it for nobody.

Cause: offer and the end of an attempt dispatch before advance looks at the deadlines.

dispatch now passes over such a request; the call of advance that follows each event ends it, with a refusal if it never ran. The new test failed before: "Expecting empty but was: [Start[work=Work[id=1, requestId=request-1 ...". StreamSchedulerTest, CallSchedulerTest and CrashingCallTest pass (74 tests).

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -429,7 +429,8 @@
         }
         mWaiting.sort(QUEUE_ORDER);
         for (StreamRun run : List.copyOf(mWaiting)) {
-            if (run.isInCacheWait(nowNanos)) {
+            if (run.isInCacheWait(nowNanos) || nowNanos - run.work().deadlineNanos() >= 0) {
+                // The next call of advance ends a run whose deadline has passed.
                 continue;
             }
             Verdict verdict = verdict(run, nowNanos);
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamSchedulerTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamSchedulerTest.java
@@ -661,6 +661,16 @@
         assertThat(start.copyHolder()).isNull();
     }
 
+    /** Its caller has given up, and the engine would generate for nobody. */
+    @Test
+    void aGenerationWhoseDeadlineHasPassedIsNotSent() {
+        mScheduler.offer(stream(1, 2, 8_000, 0), 25 * SECOND);
+        List<Decision> due = mScheduler.advance(25 * SECOND);
+
+        assertThat(starts(due)).isEmpty();
+        assertThat(finishes(due).getFirst().ending()).isEqualTo(Ending.REFUSED);
+    }
+
     private Decision.Start offer(Work work, long now) {
         mScheduler.offer(work, now);
         return starts(mScheduler.advance(now)).getLast();
