Send no call that can't be finished by its deadline or the stop

Callers saw 502 or 504 for calls that may not be repeated, although the instance knew when it sent them that no answer would be in time:

- Late in the grace period of a planned stop, calls went on to upstreams that had become slow only just then, and were cut 400 ms before the end.
The time that a call needs was estimated from answered calls alone, and calls in progress that had exceeded the estimate were no evidence.
- A call whose deadline had passed while it was read or waited was sent, and cancelled at once.
- An error with which an upstream had answered a repeatable call was replaced by 502 when there was no time for another attempt.

During a stop, a call in progress at an upstream that exceeds the estimate now counts with twice its age; another upstream is preferred, and without one the call is refused with 503 and the time to come back. A call is not sent after its deadline. A call that gets no further attempt ends with the error of its last one.

Five new tests of CallSchedulerTest failed before, with aCallIsRefusedWhenTheCallsInProgressTakeLongerThanTheTimeThatIsLeft: "Expecting empty but was: [Start[work=Work[id=119, ...", aCallGoesToAnUpstreamThatCanFinishItBeforeTheInstanceStops: "expected: Upstream[id=next, ... but was: Upstream[id=near, ...", aCallWhoseDeadlineHasPassedIsNotSent: "Expecting empty but was: [Start[work=Work[id=1, ...", aCallIsNotSentAgainAfterItsDeadline: "Expecting empty but was: [Start[work=Work[id=1, ...", anErrorOfAnUpstreamIsTheAnswerWhenThereIsNoTimeForAnotherAttempt: "expected: UPSTREAM_ERROR but was: UNKNOWN".

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -131,6 +131,7 @@
         target.recordEnd(end, nowNanos);
         mEvidence.recordEnd(call.mSubject, target, end, nowNanos);
         call.mLosses += end.isProcessLost() ? 1 : 0;
+        call.mAnsweredError = end == AttemptEnd.ANSWERED_ERROR;
         if (end == AttemptEnd.SUCCEEDED) {
             mDuration.record(nowNanos - call.mStartedAt);
             mCalls.remove(work);
@@ -267,7 +268,12 @@
      * @return whether an attempt was started
      */
     private boolean start(Call call, long nowNanos) {
-        if (!canFinish(call, nowNanos)) {
+        if (nowNanos - call.mWork.deadlineNanos() >= 0) {
+            Ending ending = endingWithoutAttempt(call, Ending.TIMED_OUT);
+            finish(call, ending, Duration.ZERO, "deadline exceeded", nowNanos);
+            return false;
+        }
+        if (!canFinish(call, mDuration.boundNanos(), nowNanos)) {
             finishStopping(call, nowNanos);
             return false;
         }
@@ -292,6 +298,10 @@
             }
             return false;
         }
+        if (!canFinish(call, boundNanos(target, nowNanos), nowNanos)) {
+            finishStopping(call, nowNanos);
+            return false;
+        }
         call.mAttempt++;
         call.mTarget = target;
         call.mStartedAt = nowNanos;
@@ -311,25 +321,59 @@
         return true;
     }
 
-    /** Returns whether a call that is sent now will have its answer before the instance stops. */
-    private boolean canFinish(Call call, long nowNanos) {
+    /**
+     * Returns whether a call that is sent now and takes at most a time will have its answer before
+     * the instance stops.
+     */
+    private boolean canFinish(Call call, long boundNanos, long nowNanos) {
         if (mStopsAt == null) {
             return true;
         }
-        long longest = Math.min(mDuration.boundNanos(), call.mWork.deadlineNanos() - nowNanos);
+        long longest = Math.min(boundNanos, call.mWork.deadlineNanos() - nowNanos);
         return mStopsAt - nowNanos >= longest;
     }
 
+    /**
+     * Returns the bound on the duration of a call to an upstream. A call in progress that exceeds
+     * the usual bound shows that the upstream has become slow, before any answer does; on average,
+     * half of such a call's duration has passed.
+     */
+    private long boundNanos(CallTarget target, long nowNanos) {
+        long bound = mDuration.boundNanos();
+        long oldest = 0;
+        for (Call call : mCalls.values()) {
+            if (call.mTarget == target) {
+                oldest = Math.max(oldest, nowNanos - call.mStartedAt);
+            }
+        }
+        return oldest > bound ? 2 * oldest : bound;
+    }
+
     private void finishStopping(Call call, long nowNanos) {
-        boolean notExecuted = call.mTarget == null && call.mExecutions == 0;
         finish(
                 call,
-                notExecuted ? Ending.REFUSED : Ending.UNKNOWN,
+                endingWithoutAttempt(call, Ending.UNKNOWN),
                 STOPPING_RETRY,
                 "the instance is stopping",
                 nowNanos);
     }
 
+    /**
+     * Returns the ending of a call that gets no further attempt: the error of its last attempt if
+     * that had one, or a refusal if the call never ran.
+     *
+     * @param executed ending of a call that may have been executed
+     */
+    private static Ending endingWithoutAttempt(Call call, Ending executed) {
+        if (call.mTarget != null) {
+            return executed;
+        }
+        if (call.mAnsweredError) {
+            return Ending.UPSTREAM_ERROR;
+        }
+        return call.mExecutions == 0 ? Ending.REFUSED : executed;
+    }
+
     private Verdict verdict(Call call, long nowNanos) {
         return mEvidence.verdict(call.mSubject, nowNanos);
     }
@@ -377,6 +421,9 @@
         if (call.mTried.contains(target.upstream().id())) {
             cost += CallTarget.LAST_RESORT_COST_MILLIS;
         }
+        if (mStopsAt != null && !canFinish(call, boundNanos(target, nowNanos), nowNanos)) {
+            cost += CallTarget.LAST_RESORT_COST_MILLIS;
+        }
         return cost;
     }
 
@@ -396,6 +443,10 @@
         int mUnexecutedAttempts;
         int mExecutions;
         int mLosses;
+
+        /** Whether the last attempt was answered with an error. */
+        boolean mAnsweredError;
+
         @Nullable CallTarget mTarget;
 
         Call(Work work) {
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallSchedulerTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallSchedulerTest.java
@@ -216,6 +216,87 @@
         assertThat(finish.ending()).as("it may have been executed").isEqualTo(Ending.UNKNOWN);
     }
 
+    /** The upstreams became slow only now, so that no answer has shown it yet. */
+    @Test
+    void aCallIsRefusedWhenTheCallsInProgressTakeLongerThanTheTimeThatIsLeft() {
+        mScheduler.replaceUpstreams(List.of(mNear, mNextZone), 0);
+        answerQuickly(100);
+        mScheduler.stopAt(10 * SECOND);
+        long slow = 8_000 * MS;
+        for (int id = 101; id <= 118; id++) {
+            offer(Samples.call(id, RequestKind.SINGLE_CALL, 1, slow + SECOND), slow);
+        }
+
+        long late = 9_000 * MS;
+        mScheduler.offer(Samples.call(119, RequestKind.SINGLE_CALL, 1, late), late);
+        List<Decision> due = mScheduler.advance(late);
+
+        assertThat(starts(due)).isEmpty();
+        assertThat(finishes(due).getFirst().ending()).isEqualTo(Ending.REFUSED);
+        assertThat(finishes(due).getFirst().retryAfter()).isEqualTo(WorkScheduler.STOPPING_RETRY);
+    }
+
+    /** One upstream that hangs must not take the others out of use. */
+    @Test
+    void aCallGoesToAnUpstreamThatCanFinishItBeforeTheInstanceStops() {
+        answerQuickly(100);
+        mScheduler.stopAt(10 * SECOND);
+        long slow = 9_000 * MS;
+        assertThat(offer(Samples.call(101, RequestKind.SINGLE_CALL, 1, slow), slow).upstream())
+                .isEqualTo(mNear);
+
+        long late = 9_500 * MS;
+        Upstream next =
+                offer(Samples.call(102, RequestKind.SINGLE_CALL, 1, late), late).upstream();
+
+        assertThat(next).isEqualTo(mNextZone);
+    }
+
+    /** Its caller has given up, and the upstream would execute it all the same. */
+    @Test
+    void aCallWhoseDeadlineHasPassedIsNotSent() {
+        long late = 1_200 * MS;
+        mScheduler.offer(Samples.call(1, RequestKind.SINGLE_CALL, 1, 0), late);
+        List<Decision> due = mScheduler.advance(late);
+
+        assertThat(starts(due)).isEmpty();
+        assertThat(finishes(due).getFirst().ending()).isEqualTo(Ending.REFUSED);
+    }
+
+    @Test
+    void aCallIsNotSentAgainAfterItsDeadline() {
+        offer(Samples.call(1, RequestKind.IDEMPOTENT_CALL, 3, 0), 0);
+
+        mScheduler.recordAttemptEnd(1, 1, AttemptEnd.LOST, 1_201 * MS);
+        List<Decision> due = mScheduler.advance(1_201 * MS);
+
+        assertThat(starts(due)).isEmpty();
+        assertThat(finishes(due).getFirst().ending())
+                .as("it may have been executed")
+                .isEqualTo(Ending.TIMED_OUT);
+    }
+
+    /** The instance holds the answer of the upstream, which other answers must not replace. */
+    @Test
+    void anErrorOfAnUpstreamIsTheAnswerWhenThereIsNoTimeForAnotherAttempt() {
+        mScheduler.stopAt(SECOND);
+        offer(Samples.call(1, RequestKind.IDEMPOTENT_CALL, 3, 0), 0);
+
+        mScheduler.recordAttemptEnd(1, 1, AttemptEnd.ANSWERED_ERROR, 900 * MS);
+        List<Decision> due = mScheduler.advance(900 * MS);
+
+        assertThat(starts(due)).isEmpty();
+        assertThat(finishes(due).getFirst().ending()).isEqualTo(Ending.UPSTREAM_ERROR);
+    }
+
+    private void answerQuickly(int calls) {
+        for (int id = 1; id <= calls; id++) {
+            long now = id * 10 * MS;
+            offer(Samples.call(id, RequestKind.SINGLE_CALL, 1, now), now);
+            mScheduler.recordAttemptEnd(id, 1, AttemptEnd.SUCCEEDED, now + 21 * MS);
+        }
+    }
+
     private Decision.Start offer(Work work, long now) {
         mScheduler.offer(work, now);
         return starts(mScheduler.advance(now)).getLast();
