Answer requests in progress before the process ends

A stopping instance answered what was in progress 400 ms before the end of the grace period, by a decision of the control thread. When that thread was late at the end, the process exited all the same, and the connections of all requests in progress ended without an answer, among them requests that had never been passed on.

The traffic loop, which runs the exit, now completes each response itself first: with the error that an upstream had answered, with 502 if an attempt was started, else with 503 and the time to come back. A later decision on such a request has no effect, so that a refused one does not run.

UnansweredRequestTest.requestsThatWaitForADecisionAtTheEndOfAStopAreAnswered blocks the control thread over the end of the stop. It failed before: "java.net.SocketTimeoutException: Read timed out" at the first answer (20 s).

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
@@ -139,6 +139,8 @@
                     boolean graceExpired =
                             elapsed >= mSettings.stopGrace().minus(EXIT_MARGIN).toNanos();
                     if (graceExpired || noticed && mEdge.connections() == 0) {
+                        // The control thread may be late; the connections end with the process.
+                        mEdge.endRequests();
                         done.run();
                     }
                 },
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
@@ -156,6 +156,14 @@
         }
     }
 
+    /** Completes the response to the request in progress, since the process is about to end. */
+    void endRequest() {
+        RequestHandler.CallerListener listener = mCallerListener;
+        if (listener != null) {
+            listener.instanceEnds();
+        }
+    }
+
     private void read(ChannelHandlerContext context, Object message) {
         try {
             if (message instanceof HttpRequest request) {
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeServer.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeServer.java
@@ -84,6 +84,13 @@
         }
     }
 
+    /** Answers the requests in progress. Must be called on the traffic loop. */
+    public void endRequests() {
+        for (EdgeConnection connection : mConnections.toArray(new EdgeConnection[0])) {
+            connection.endRequest();
+        }
+    }
+
     /**
      * Returns the number of open connections. Must be called on the traffic loop.
      *
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/RequestHandler.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/RequestHandler.java
@@ -18,5 +18,10 @@
 
         /** Called when {@link CallerChannel#isWritable} has changed. */
         void writabilityChanged();
+
+        /**
+         * Called when the process is about to end. The response must be completed during the call.
+         */
+        void instanceEnds();
     }
 }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -9,6 +9,7 @@
 import org.gentianwalk.core.dispatch.Upstream;
 import org.gentianwalk.core.dispatch.UpstreamLoad;
 import org.gentianwalk.core.dispatch.Work;
+import org.gentianwalk.core.dispatch.WorkScheduler;
 import org.gentianwalk.core.time.Ticker;
 import org.gentianwalk.gateway.http.CallerChannel;
 import org.gentianwalk.gateway.http.CallerRequest;
@@ -51,6 +52,7 @@
     private long mLastEvent;
     private boolean mHeadSent;
     private boolean mDone;
+    private boolean mStarted;
     private int mForwardedEvents;
     private long mFirstAt;
     private long mLastForwardedAt;
@@ -94,6 +96,7 @@
             return;
         }
         cancelAttempt();
+        mStarted = true;
         mErrorResponse = null;
         Attempt attempt = new Attempt(start);
         mAttempt = attempt;
@@ -147,6 +150,19 @@
         mCollaborators.control().requestWithdrawn(mWork.id());
     }
 
+    @Override
+    public void instanceEnds() {
+        boolean answered = mErrorResponse != null;
+        finish(
+                new Decision.Finish(
+                        mWork,
+                        answered
+                                ? Decision.Ending.UPSTREAM_ERROR
+                                : mStarted ? Decision.Ending.UNKNOWN : Decision.Ending.REFUSED,
+                        WorkScheduler.STOPPING_RETRY,
+                        "the instance is stopping"));
+    }
+
     @Override
     public void writabilityChanged() {
         Attempt attempt = mAttempt;
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/TrafficHandler.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/TrafficHandler.java
@@ -127,5 +127,10 @@
                 public void writabilityChanged() {
                     // The response has been written.
                 }
+
+                @Override
+                public void instanceEnds() {
+                    // The response has been written.
+                }
             };
 }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
@@ -48,6 +48,9 @@
 
                         @Override
                         public void writabilityChanged() {}
+
+                        @Override
+                        public void instanceEnds() {}
                     };
                 };
         mConnection =
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/GatewayFleet.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/GatewayFleet.java
@@ -40,7 +40,7 @@
             List.of(new MeshKey("key", "0123456789abcdef".getBytes()));
 
     private final MemoryStore mStore = new MemoryStore();
-    private final PlainRows mRows = new PlainRows();
+    private final PlainRows mRows;
     private final List<Instance> mInstances = new ArrayList<>();
     private final WireDialect mDialect;
     private long mConfigVersion;
@@ -50,7 +50,12 @@
     }
 
     GatewayFleet(WireDialect dialect) {
+        this(dialect, new PlainRows());
+    }
+
+    GatewayFleet(WireDialect dialect, PlainRows rows) {
         mDialect = dialect;
+        mRows = rows;
         configure(Duration.ofSeconds(4));
     }
 
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/PlainRows.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/PlainRows.java
@@ -9,7 +9,7 @@
 import org.gentianwalk.gateway.store.UnreadableRowException;
 
 /** Rows of tests: a configuration row names a prepared table, an upstream is a line of text. */
-final class PlainRows implements RowFormat {
+class PlainRows implements RowFormat {
     static final String CONFIG = "config";
     static final String UPSTREAMS = "upstreams";
 
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/RawCaller.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/RawCaller.java
@@ -19,6 +19,14 @@
     private final Socket mSocket = new Socket();
 
     RawCaller(InetSocketAddress instance) throws IOException {
+        this(instance, 0);
+    }
+
+    /** Connects with a receive buffer of a size in bytes; 0 for the default of the system. */
+    RawCaller(InetSocketAddress instance, int receiveBuffer) throws IOException {
+        if (receiveBuffer > 0) {
+            mSocket.setReceiveBufferSize(receiveBuffer);
+        }
         mSocket.setTcpNoDelay(true);
         mSocket.setSoTimeout(TIMEOUT_MILLIS);
         mSocket.connect(instance, TIMEOUT_MILLIS);
--- /dev/null
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/UnansweredRequestTest.java
@@ -0,0 +1,102 @@
+package org.gentianwalk.gateway.sockets;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import org.gentianwalk.core.dispatch.Upstream;
+import org.gentianwalk.gateway.http.PlainDialect;
+import org.gentianwalk.gateway.store.UnreadableRowException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests that are read whole and end with their connection. */
+class UnansweredRequestTest {
+    private static final Duration GRACE = Duration.ofSeconds(4);
+
+    private final Set<String> mExecuted = ConcurrentHashMap.newKeySet();
+    private final CountDownLatch mControlBlocked = new CountDownLatch(1);
+    private final CountDownLatch mControlReleased = new CountDownLatch(1);
+    private GatewayFleet mFleet;
+    private ScriptedUpstream mDesk;
+    private GatewayFleet.Instance mInstance;
+
+    /** Rows of which one blocks the control thread. */
+    private final class BlockingRows extends PlainRows {
+        @Override
+        public Upstream parseUpstream(String id, byte[] value) throws UnreadableRowException {
+            if (id.equals("blocks")) {
+                mControlBlocked.countDown();
+                try {
+                    mControlReleased.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+            return super.parseUpstream(id, value);
+        }
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        mFleet = new GatewayFleet(new PlainDialect(), new BlockingRows());
+        mDesk =
+                new ScriptedUpstream(
+                        "u1",
+                        (request, connection) -> {
+                            mExecuted.add(request.id());
+                            if (request.target().contains("slow")) {
+                                Thread.sleep(60_000);
+                            }
+                            boolean large = request.target().contains("large");
+                            if (large) {
+                                Thread.sleep(200);
+                            }
+                            String body = "x".repeat(large ? 250_000 : 2);
+                            connection.write(ScriptedUpstream.success(request, body));
+                        });
+        mFleet.configure(Duration.ofSeconds(15));
+        mFleet.list(mDesk.entry(GatewayFleet.DESK, "a"));
+        mInstance = mFleet.start("i1", "a", GRACE);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mControlReleased.countDown();
+        mFleet.close();
+        mDesk.close();
+    }
+
+    /** The process ends whether or not the control thread has decided on every request. */
+    @Test
+    void requestsThatWaitForADecisionAtTheEndOfAStopAreAnswered() throws Exception {
+        try (RawCaller running = mInstance.caller()) {
+            running.send("/unsafe/slow", "running");
+            GatewayFleet.await(
+                    "the call runs", Duration.ofSeconds(2), () -> mExecuted.contains("running"));
+            GatewayFleet.stop(mInstance);
+            Thread.sleep(GRACE.toMillis() - 1_500);
+            mFleet.list(new Upstream("blocks", 1, "none", "127.0.0.1:1", "a", 1, false));
+            mControlBlocked.await();
+            RawCaller.Response waited;
+            try (RawCaller waiting = mInstance.caller()) {
+                waited = waiting.call("/unsafe/a", "waiting");
+            }
+            RawCaller.Response ran = running.read();
+            assertThat(ran).as("an answer to the call in progress").isNotNull();
+            assertThat(ran.status()).isEqualTo(502);
+            assertThat(waited).as("an answer to the call without a decision").isNotNull();
+            assertThat(waited.status()).isEqualTo(503);
+            assertThat(waited.headers()).containsKey("retry-after");
+            mControlReleased.countDown();
+            mInstance.stopped().join(5_000);
+            assertThat(mExecuted).doesNotContain("waiting");
+        } catch (IOException e) {
+            throw new AssertionError("a connection was reset", e);
+        }
+    }
+}
