Deliver answers on connections that close with unread input

An answer with "Connection: close", as each one of a stopping instance is, was lost in part when its caller had sent further requests on the connection: closing a socket with unread input resets the connection, and what the caller has not received yet is dropped.

Such connections are now closed as those of rejected requests are: the output is shut down, and input is read and dropped for up to 500 ms or until the caller closes.

UnansweredRequestTest.anAnswerBeforeTheCloseIsDeliveredAlthoughFurtherRequestsFollow failed before: "[the whole answer] Expecting value to be true but was false". The test EdgeConnectionTest.responsesCloseTheirConnectionsWhileStopping lets the 500 ms pass before it checks that the connection is closed, since the time is part of the close now.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
@@ -49,7 +48,7 @@
 
     private static final double MILLIS_PER_SECOND = 1000;
 
-    /** Time for which the rest of a rejected request is read and dropped before the close. */
+    /** Time for which further input is read and dropped before the close. */
     private static final long LINGER_MILLIS = 500;
 
     private final EdgeOptions mOptions;
@@ -303,6 +302,8 @@
         if (context.channel() instanceof DuplexChannel duplex) {
             duplex.shutdownOutput();
         }
+        // Further input is read and dropped.
+        context.channel().config().setAutoRead(true);
         context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -452,7 +453,7 @@
             boolean keep = keepsAlive();
             var written = mCallerContext.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
             if (!keep) {
-                written.addListener(ChannelFutureListener.CLOSE);
+                written.addListener(done -> linger(mCallerContext));
             }
             release(keep);
         }
@@ -482,7 +483,7 @@
             }
             var written = mCallerContext.writeAndFlush(response);
             if (!keep) {
-                written.addListener(ChannelFutureListener.CLOSE);
+                written.addListener(done -> linger(mCallerContext));
             }
             release(keep);
         }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
@@ -187,6 +187,8 @@
         mChannels.getFirst().respond(200, new DefaultHttpHeaders(), new byte[0]);
 
         assertThat(written()).contains("connection: close");
+        // Input is read for a time, so that a reset does not drop the response.
+        elapse(Duration.ofMillis(600));
         assertThat(mChannel.isOpen()).isFalse();
     }
 
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/UnansweredRequestTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/UnansweredRequestTest.java
@@ -71,6 +71,30 @@
         mDesk.close();
     }
 
+    /** A connection that is closed with unread input is reset, and what was written is dropped. */
+    @Test
+    void anAnswerBeforeTheCloseIsDeliveredAlthoughFurtherRequestsFollow() throws Exception {
+        try (RawCaller caller = new RawCaller(mInstance.address(), 4_096)) {
+            caller.send("/unsafe/large", "large-1", "Connection: close");
+            for (int batch = 0; batch < 10; batch++) {
+                for (int i = 0; i < 20; i++) {
+                    caller.send("/unsafe/a", "ignored");
+                }
+                Thread.sleep(10);
+            }
+            GatewayFleet.await(
+                    "the call runs", Duration.ofSeconds(2), () -> mExecuted.contains("large-1"));
+            // The answer is written to the connection now, of which the caller reads nothing yet.
+            Thread.sleep(700);
+            RawCaller.Response response = caller.read();
+
+            assertThat(response).isNotNull();
+            assertThat(response.complete()).as("the whole answer").isTrue();
+            assertThat(response.body()).hasSize(250_000);
+            assertThat(mExecuted).doesNotContain("ignored");
+        }
+    }
+
     /** The process ends whether or not the control thread has decided on every request. */
     @Test
     void requestsThatWaitForADecisionAtTheEndOfAStopAreAnswered() throws Exception {
