Answer requests whose own time limit is very long

A request that stated a time limit beyond the range of nanoseconds got no answer: the conversion threw an ArithmeticException, and the connection was closed. A slightly shorter one made the sum with the time of arrival overflow, and the request counted as expired. The platform's headers accept at most 2^31 - 1 ms, so that callers of today's platform did not see this.

The caller's limit is only converted when it is shorter than the route's. UnansweredRequestTest. aRequestWithAVeryLongTimeLimitIsAnswered failed before: "[an answer at a limit of] Expecting actual not to be null".

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/TrafficHandler.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/TrafficHandler.java
@@ -86,8 +86,9 @@
         long arrived = request.arrivedNanos();
         Duration timeout = head.timeout();
         long deadline = arrived + route.timeout().toNanos();
-        if (timeout != null) {
-            deadline = Math.min(deadline, arrived + timeout.toNanos());
+        if (timeout != null && timeout.compareTo(route.timeout()) < 0) {
+            // A longer one may exceed the range of nanoseconds.
+            deadline = arrived + timeout.toNanos();
         }
         int priority = team == null ? route.priority() : team.priority().orElse(route.priority());
         return new Work(
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/UnansweredRequestTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/UnansweredRequestTest.java
@@ -71,6 +71,20 @@
         mDesk.close();
     }
 
+    /** A time limit of a caller may exceed the range of nanoseconds. */
+    @Test
+    void aRequestWithAVeryLongTimeLimitIsAnswered() throws Exception {
+        for (String limit : new String[] {"999999999999999999", "9200000000000"}) {
+            try (RawCaller caller = mInstance.caller()) {
+                RawCaller.Response response =
+                        caller.call("/unsafe/a", "long-" + limit, "x-patience: " + limit);
+
+                assertThat(response).as("an answer at a limit of " + limit).isNotNull();
+                assertThat(response.status()).isEqualTo(200);
+            }
+        }
+    }
+
     /** A connection that is closed with unread input is reset, and what was written is dropped. */
     @Test
     void anAnswerBeforeTheCloseIsDeliveredAlthoughFurtherRequestsFollow() throws Exception {
