--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
@@ -58,6 +58,9 @@
 
                         @Override
                         public void writabilityChanged() {}
+
+                        @Override
+                        public void instanceEnds() {}
                     };
                 };
         mConnection =
@@ -214,6 +217,8 @@
         mChannels.getFirst().respond(200, new DefaultHttpHeaders(), new byte[0]);
 
         assertThat(written()).contains("connection: close");
+        // Input is read for a time, so that a reset does not drop the response.
+        elapse(Duration.ofMillis(600));
         assertThat(mChannel.isOpen()).isFalse();
     }
 
