--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
@@ -160,8 +160,7 @@
                 : Verdict.UNKNOWN;
     }
 
-    private boolean confirm(
-            Predicate<Loss<P>> isConfirmed, SettledLoss.Sign sign, long nowNanos) {
+    private boolean confirm(Predicate<Loss<P>> isConfirmed, SettledLoss.Sign sign, long nowNanos) {
         List<Loss<P>> confirmed = drop(isConfirmed, sign, nowNanos);
         for (Loss<P> loss : confirmed) {
             mSuspects.recordLoss(
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -234,8 +234,7 @@
 
     private void recordLoss(StreamRun run, EngineState engine, boolean closed, long nowNanos) {
         if (!run.hasOutput()) {
-            mEvidence.recordLoss(
-                    engine, run.work().requestId(), run.subject(), closed, nowNanos);
+            mEvidence.recordLoss(engine, run.work().requestId(), run.subject(), closed, nowNanos);
         }
     }
 
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/policy/suspect/SuspectTableTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/policy/suspect/SuspectTableTest.java
@@ -177,7 +177,12 @@
     void partsWithTheSameLossesAreOnlyHeldAgainstRequestsWithBoth() {
         SuspectTable table = table();
         for (int i = 0; i < 3; i++) {
-            table.recordLoss(request(i), List.of(PART, OTHER_PART), "e" + i, (1 + i) * SECOND, (1 + i) * SECOND);
+            table.recordLoss(
+                    request(i),
+                    List.of(PART, OTHER_PART),
+                    "e" + i,
+                    (1 + i) * SECOND,
+                    (1 + i) * SECOND);
         }
 
         assertThat(verdict(table, OTHER_PART, 6 * SECOND)).isEqualTo(Verdict.UNKNOWN);
