Report a success after losses that others report late

Callers could have seen: calls with sound content refused for an hour, at all instances but those where it had succeeded.

Cause: since losses are reported from their confirmation on, a loss may be reported seconds after a success with the same content at another instance. That instance dropped the loss silently, so the others counted it. Two such losses, at least half a second apart, convicted the content.

Change: an instance that knows of a success after a reported loss reports that success, at most twice a second for each suspect.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallEvidence.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallEvidence.java
@@ -68,6 +68,6 @@
     }
 
     void merge(List<SuspectEntry> entries, long nowNanos) {
-        mSuspects.merge(entries, nowNanos);
+        mChanges += mSuspects.merge(entries, nowNanos) ? 1 : 0;
     }
 }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -367,7 +367,7 @@
     public void recordPeerLoad(String instance, InstanceLoad load, long nowNanos) {
         mEngineView.recordPeerLoad(instance, load, nowNanos);
         mRetries.recordPeerUsage(instance, load.usage());
-        mSuspects.merge(load.suspects(), nowNanos);
+        mLoadChanges += mSuspects.merge(load.suspects(), nowNanos) ? 1 : 0;
     }
 
     @Override
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/SuspectTable.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/SuspectTable.java
@@ -48,6 +48,9 @@
      */
     private static final long KEPT_AFTER_NANOS = 3_000_000_000L;
 
+    /** Minimum interval between two reports of a success after a loss. */
+    private static final long SUCCESS_REPORT_NANOS = 500_000_000L;
+
     /** Successes remembered, for losses that other instances report late. */
     private static final int MAX_SUCCESSES = 4_096;
 
@@ -275,20 +278,54 @@
      *
      * @param entries its entries
      * @param nowNanos time of receipt
+     * @return whether other instances should learn what this one knows about the entries
      */
-    public void merge(List<SuspectEntry> entries, long nowNanos) {
+    public boolean merge(List<SuspectEntry> entries, long nowNanos) {
+        boolean known = false;
         for (SuspectEntry entry : entries) {
-            Suspect known = mSuspects.get(entry.fingerprint());
-            if (entry.isCleared() && known != null) {
-                clear(known, nowNanos - entry.clearedAgeMs() * NANOS_PER_MILLI);
-            }
-            for (SuspectEntry.LossEntry loss : entry.losses()) {
-                long at = nowNanos - loss.ageMs() * NANOS_PER_MILLI;
-                addLoss(
-                        entry.fingerprint(),
-                        entry.part(),
-                        new Suspect.Loss(loss.id(), loss.request(), at));
-            }
+            known |= reportSuccess(entry, nowNanos);
+            merge(entry, nowNanos);
+        }
+        return known;
+    }
+
+    /**
+     * Reports a success of this instance after losses that others report as if there was none.
+     *
+     * @return whether the success has to be reported
+     */
+    private boolean reportSuccess(SuspectEntry entry, long nowNanos) {
+        Long success = mSuccesses.get(entry.fingerprint());
+        if (success == null || entry.losses().isEmpty()) {
+            return false;
+        }
+        long age = (nowNanos - success) / NANOS_PER_MILLI;
+        if (entry.losses().stream().noneMatch(loss -> loss.ageMs() >= age)) {
+            return false;
+        }
+        Suspect suspect =
+                mSuspects.computeIfAbsent(
+                        entry.fingerprint(), key -> new Suspect(key, entry.part(), success));
+        if (suspect.isObservedSince(nowNanos - SUCCESS_REPORT_NANOS)) {
+            return false;
+        }
+        clear(suspect, success);
+        suspect.recordObservation(nowNanos);
+        enforceBound();
+        return true;
+    }
+
+    private void merge(SuspectEntry entry, long nowNanos) {
+        Suspect known = mSuspects.get(entry.fingerprint());
+        if (entry.isCleared() && known != null) {
+            clear(known, nowNanos - entry.clearedAgeMs() * NANOS_PER_MILLI);
+        }
+        for (SuspectEntry.LossEntry loss : entry.losses()) {
+            long at = nowNanos - loss.ageMs() * NANOS_PER_MILLI;
+            addLoss(
+                    entry.fingerprint(),
+                    entry.part(),
+                    new Suspect.Loss(loss.id(), loss.request(), at));
         }
     }
 
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/policy/suspect/SuspectTableTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/policy/suspect/SuspectTableTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.gentianwalk.core.model.Fingerprint;
 import org.gentianwalk.core.policy.Fixtures;
@@ -226,6 +227,36 @@
         assertThat(verdict(started, PART, 60 * SECOND)).isEqualTo(Verdict.CONVICTED);
     }
 
+    /**
+     * Guards against convicting what succeeds at another instance. Both losses are confirmed and
+     * reported seconds after a success that came after them.
+     */
+    @Test
+    void aSuccessAfterLossesThatAreReportedLateIsKnownToAllInstances() {
+        int losses = SuspectTable.CONVICTING_CONTENT_LOSSES;
+        PolicyOptions.Retry options = PolicyOptions.defaults().retry();
+        List<SuspectTable> tables = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            tables.add(new SuspectTable(options, losses));
+        }
+        for (long now = 0; now <= 9 * SECOND; now += SECOND / 10) {
+            if (now == SECOND * 44 / 10) {
+                tables.get(0).recordLoss(request(1), List.of(PART), "e0", 0, now);
+            }
+            if (now == SECOND * 64 / 10) {
+                tables.get(2).recordLoss(request(2), List.of(PART), "e2", 2 * SECOND, now);
+            }
+            if (now % SECOND == 0) {
+                tables.get(1).clear(PART, now);
+            }
+            exchangeReports(tables, now);
+        }
+
+        for (SuspectTable table : tables) {
+            assertThat(verdict(table, PART, 9 * SECOND)).isEqualTo(Verdict.UNKNOWN);
+        }
+    }
+
     /** Guards against unbounded memory when many requests lose engines. */
     @Test
     void tableIsBounded() {
@@ -237,6 +268,13 @@
         assertThat(table.size()).isEqualTo(bound);
     }
 
+    private static void exchangeReports(List<SuspectTable> tables, long now) {
+        for (SuspectTable from : tables) {
+            List<SuspectEntry> report = from.entries(SECOND * 5 / 2, 16, now);
+            tables.stream().filter(to -> to != from).forEach(to -> to.merge(report, now));
+        }
+    }
+
     private static Fingerprint request(int number) {
         return new Fingerprint(50, number);
     }
