Report the suspects with most losses first

Cause: a report to other instances has room for 16 suspects, and took those with the newest losses. Each lost call adds two, itself and its content, so that the calls lost beside a crashing one displaced it, and a loss that was confirmed late came after later ones.

Change: what was observed within the time of a report comes before older convictions, then what has most losses, then the latest observation.

Evidence: SuspectTableTest.aReportHasThePartWithMostLosses and aReportHasTheLossThatWasConfirmedLast failed before (the part was missing).

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/Suspect.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/Suspect.java
@@ -90,6 +90,11 @@
         return mObservedAt != null && mObservedAt - nanos >= 0;
     }
 
+    /** Returns the time of the last observation of this instance, or else of the last change. */
+    long reportedFrom() {
+        return mObservedAt == null ? mChangedAt : mObservedAt;
+    }
+
     boolean isConvicted() {
         return mConvicted;
     }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/SuspectTable.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/SuspectTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -347,18 +348,23 @@
      * may lack because it was started later.
      *
      * @param maxAgeNanos age up to which observations are included
-     * @param maxEntries maximum number of entries, newest first
+     * @param maxEntries maximum number of entries; recent observations precede older convictions,
+     *     and those with most losses precede others, the latest observation first
      * @param nowNanos current time
      * @return entries to send to other instances
      */
     public List<SuspectEntry> entries(long maxAgeNanos, int maxEntries, long nowNanos) {
+        long since = nowNanos - maxAgeNanos;
         List<Suspect> selected = new ArrayList<>();
         for (Suspect suspect : mSuspects.values()) {
-            if (suspect.isConvicted() || suspect.isObservedSince(nowNanos - maxAgeNanos)) {
+            if (suspect.isConvicted() || suspect.isObservedSince(since)) {
                 selected.add(suspect);
             }
         }
-        selected.sort((a, b) -> Long.compare(b.changedAt() - a.changedAt(), 0));
+        selected.sort(
+                Comparator.<Suspect, Boolean>comparing(suspect -> !suspect.isObservedSince(since))
+                        .thenComparing(suspect -> -suspect.losses().size())
+                        .thenComparing(suspect -> nowNanos - suspect.reportedFrom()));
         return selected.stream()
                 .limit(maxEntries)
                 .map(suspect -> entry(suspect, nowNanos))
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/policy/suspect/SuspectTableTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/policy/suspect/SuspectTableTest.java
@@ -257,6 +257,37 @@
         }
     }
 
+    /** Guards against a report in which many other losses displace the crashing part. */
+    @Test
+    void aReportHasThePartWithMostLosses() {
+        SuspectTable table = table();
+        lose(table, request(1), PART, "e0", SECOND);
+        lose(table, request(2), PART, "e1", 2 * SECOND);
+        for (int i = 0; i < 20; i++) {
+            Fingerprint part = new Fingerprint(70, i);
+            lose(table, request(100 + i), part, "e2", 2 * SECOND + SECOND / 5);
+        }
+
+        assertThat(table.entries(5 * SECOND, 16, 3 * SECOND))
+                .extracting(SuspectEntry::fingerprint)
+                .contains(PART);
+    }
+
+    /** Guards against a report in which later losses displace one that was confirmed after them. */
+    @Test
+    void aReportHasTheLossThatWasConfirmedLast() {
+        SuspectTable table = table();
+        for (int i = 0; i < 20; i++) {
+            Fingerprint part = new Fingerprint(70, i);
+            lose(table, request(100 + i), part, "e2", SECOND);
+        }
+        table.recordLoss(request(1), List.of(PART), "e0", 0, 3 * SECOND);
+
+        assertThat(table.entries(5 * SECOND, 16, 3 * SECOND))
+                .extracting(SuspectEntry::fingerprint)
+                .contains(PART);
+    }
+
     /** Guards against unbounded memory when many requests lose engines. */
     @Test
     void tableIsBounded() {
