Confirm a loss by a sign at the end of its time

Cause: a loss expired after ten seconds before the signs that had arrived by then were examined. Where the list is away for that long, the same decision saw the end of the process and dropped the loss.

Change: signs are examined first.

Evidence: CrashingCallTest.aLossIsConfirmedByASignThatComesAtTheEndOfItsTime failed before (EXPIRED instead of ENDED).

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
@@ -141,11 +141,14 @@
                 loss -> loss.process().isAliveSince(loss.atNanos() + REPORT_DELAY_NANOS),
                 SettledLoss.Sign.ALIVE,
                 nowNanos);
+        // A sign that arrives together with the end of the time still counts.
+        boolean confirmed =
+                confirm(loss -> loss.process().hasEnded(), SettledLoss.Sign.ENDED, nowNanos);
         drop(
                 loss -> nowNanos - loss.atNanos() > MAX_CONFIRMATION_NANOS,
                 SettledLoss.Sign.EXPIRED,
                 nowNanos);
-        return confirm(loss -> loss.process().hasEnded(), SettledLoss.Sign.ENDED, nowNanos);
+        return confirmed;
     }
 
     /** Returns the evidence that this instance has to keep beyond its life. */
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingCallTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingCallTest.java
@@ -185,6 +185,24 @@
         assertThat(lateStarts()).isLessThanOrEqualTo(MAX_LATE_ATTEMPTS);
     }
 
+    /** The list was away, and shows the end of the process as the time to confirm it ends. */
+    @Test
+    void aLossIsConfirmedByASignThatComesAtTheEndOfItsTime() {
+        createFleet(1, 2, 1);
+        CallScheduler instance = mInstances.getFirst();
+        long id = offer(0, RequestKind.SINGLE_CALL, CRASHING, 0);
+        Upstream lost = Samples.starts(instance.advance(0)).getFirst().upstream();
+        instance.recordAttemptEnd(id, 1, AttemptEnd.RESET, MS);
+        long late = 10 * SECOND + 2 * MS;
+        mUpstreams.remove(lost.id());
+        instance.replaceUpstreams(mUpstreams.values(), late);
+        instance.advance(late);
+
+        assertThat(instance.takeSettledLosses())
+                .extracting(SettledLoss::sign)
+                .containsExactly(SettledLoss.Sign.ENDED);
+    }
+
     /** A route may allow many attempts, and each one costs an upstream and the calls there. */
     @Test
     void oneCallCrashesAtMostTwoUpstreams() {
