Let no sign from before a loss confirm it

Cause: a refused connection, and an entry with a later start at the same address, were remembered without their time. A reset half a minute after a refused connection was counted at once as the end of the process, although it had accepted the connection; and after an answer had refuted an odd entry, the next change of the list brought the sign back.

Change: an accepted connection ends the first sign; an answer refutes the entries listed by then, and only a process with a still later start counts.

Evidence: CrashingCallTest.aRefusedConnectionDoesNotConfirmALaterLoss and anEntryThatAnAnswerHasRefutedDoesNotConfirmALaterLoss failed before (ENDED after 1 ms).

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -91,10 +91,8 @@
             CallTarget known = before.get(upstream.id());
             if (known != null && known.upstream().isSameProcess(upstream)) {
                 known.upstream(upstream);
-                long incarnation = upstream.incarnation();
-                if (newest.getOrDefault(upstream.address(), incarnation) > incarnation) {
-                    known.recordSuperseded();
-                }
+                known.recordSuccessor(
+                        newest.getOrDefault(upstream.address(), upstream.incarnation()));
                 before.remove(upstream.id());
                 mTargets.put(upstream.id(), known);
             } else {
@@ -135,7 +133,7 @@
         CallTarget target = call.mTarget;
         call.mTarget = null;
         target.release();
-        target.recordEnd(end, nowNanos);
+        target.recordEnd(end, call.mStartedAt, nowNanos);
         mEvidence.recordEnd(call.mWork.requestId(), call.mSubject, target, end, nowNanos);
         call.mLosses += end.isProcessLost() ? 1 : 0;
         call.mAnsweredError = end == AttemptEnd.ANSWERED_ERROR;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
@@ -33,7 +33,9 @@
     private long mReportedAt;
     private boolean mReplaced;
     private boolean mNotListening;
-    private boolean mSuperseded;
+    private long mNotListeningAt;
+    private long mSuccessor = Long.MIN_VALUE;
+    private long mRefutedSuccessor = Long.MIN_VALUE;
     private @Nullable Long mAnsweredAt;
 
     CallTarget(Upstream upstream) {
@@ -61,15 +63,19 @@
 
     @Override
     public boolean hasEnded() {
-        return mReplaced || mNotListening || mSuperseded;
+        return mReplaced
+                || mNotListening
+                || mSuccessor > Math.max(mUpstream.incarnation(), mRefutedSuccessor);
     }
 
     /**
-     * Records that a process that was started later is listed at the same address. The entry of a
+     * Records the latest start of a process that is listed at the same address. The entry of a
      * process that has crashed remains listed until its heartbeats are missed.
+     *
+     * @param incarnation start of that process, which may be this one
      */
-    void recordSuperseded() {
-        mSuperseded = true;
+    void recordSuccessor(long incarnation) {
+        mSuccessor = incarnation;
     }
 
     @Override
@@ -92,21 +98,28 @@
     }
 
     /** Records the end of a call, which {@link #release} has been called for. */
-    void recordEnd(AttemptEnd end, long nowNanos) {
+    void recordEnd(AttemptEnd end, long startedNanos, long nowNanos) {
         switch (end) {
             case SUCCEEDED, ANSWERED_ERROR, REJECTED -> {
                 mReachability.recordSuccess();
                 mNotListening = false;
                 // The other entry at the address is not valid.
-                mSuperseded = false;
+                mRefutedSuccessor = mSuccessor;
                 mAnsweredAt = nowNanos;
             }
             case NOT_LISTENING, CRASHED -> {
                 // The process may have been started again before the list shows it.
                 mReachability.recordFailure(nowNanos);
                 mNotListening = true;
+                mNotListeningAt = nowNanos;
+            }
+            case UNREACHABLE, RESET, LOST, SILENT -> {
+                mReachability.recordFailure(nowNanos);
+                if (!end.isNotSent() && startedNanos - mNotListeningAt > 0) {
+                    // A connection was accepted, so the process listened again.
+                    mNotListening = false;
+                }
             }
-            case UNREACHABLE, RESET, LOST, SILENT -> mReachability.recordFailure(nowNanos);
             default -> mReplaced = true;
         }
     }
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingCallTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingCallTest.java
@@ -185,6 +185,56 @@
         assertThat(lateStarts()).isLessThanOrEqualTo(MAX_LATE_ATTEMPTS);
     }
 
+    /** The process was starting when a connection was refused, and listens by now. */
+    @Test
+    void aRefusedConnectionDoesNotConfirmALaterLoss() {
+        createFleet(1, 1, 1);
+        CallScheduler instance = mInstances.getFirst();
+        long refused = offer(0, RequestKind.SINGLE_CALL, SOUND, 0);
+        instance.advance(0);
+        instance.recordAttemptEnd(refused, 1, AttemptEnd.NOT_LISTENING, MS);
+        instance.advance(MS);
+        instance.remove(refused, MS);
+        long lost = offer(0, RequestKind.SINGLE_CALL, CRASHING, 30 * SECOND);
+        instance.advance(30 * SECOND);
+        instance.recordAttemptEnd(lost, 1, AttemptEnd.RESET, 30 * SECOND + MS);
+        instance.advance(30 * SECOND + 2 * MS);
+
+        assertThat(instance.takeSettledLosses()).isEmpty();
+    }
+
+    /** Another writer left an entry with the address of a process that answers. */
+    @Test
+    void anEntryThatAnAnswerHasRefutedDoesNotConfirmALaterLoss() {
+        createFleet(1, 1, 1);
+        CallScheduler instance = mInstances.getFirst();
+        Upstream sound = mUpstreams.values().iterator().next();
+        Upstream odd = renamed(sound, 5);
+        mUpstreams.put(odd.id(), odd);
+        instance.replaceUpstreams(mUpstreams.values(), 0);
+        sendTo(sound, AttemptEnd.SUCCEEDED, SECOND);
+        instance.replaceUpstreams(mUpstreams.values(), 2 * SECOND);
+        sendTo(sound, AttemptEnd.RESET, 3 * SECOND);
+
+        assertThat(instance.takeSettledLosses()).isEmpty();
+    }
+
+    /** Sends calls until one is placed at an upstream, and ends that one. */
+    private void sendTo(Upstream upstream, AttemptEnd end, long now) {
+        CallScheduler instance = mInstances.getFirst();
+        for (int i = 0; i < 100; i++) {
+            long id = offer(0, RequestKind.SINGLE_CALL, CRASHING, now);
+            Upstream chosen = Samples.starts(instance.advance(now)).getFirst().upstream();
+            if (chosen.equals(upstream)) {
+                instance.recordAttemptEnd(id, 1, end, now + MS);
+                instance.advance(now + 2 * MS);
+                return;
+            }
+            instance.remove(id, now);
+        }
+        throw new AssertionError("no call was placed at " + upstream.id());
+    }
+
     /** The list was away, and shows the end of the process as the time to confirm it ends. */
     @Test
     void aLossIsConfirmedByASignThatComesAtTheEndOfItsTime() {
