Find the oldest calls of all upstreams in one pass during a stop

Cause: whether a call can be finished before a stop was computed by a pass over all calls in progress for each upstream, and once more for the chosen one also without a stop.

Change: one pass over the calls for each decision, and none without a stop.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -310,7 +310,7 @@
             }
             return false;
         }
-        if (!canFinish(call, boundNanos(target, nowNanos), nowNanos)) {
+        if (!canFinishAt(target, call, oldestStarts(), nowNanos)) {
             finishStopping(call, nowNanos);
             return false;
         }
@@ -346,19 +346,34 @@
     }
 
     /**
-     * Returns the bound on the duration of a call to an upstream. A call in progress that exceeds
-     * the usual bound shows that the upstream has become slow, before any answer does; on average,
-     * half of such a call's duration has passed.
+     * Returns the start of the oldest call in progress at each upstream; empty while no stop is
+     * planned, when it has no use.
      */
-    private long boundNanos(CallTarget target, long nowNanos) {
-        long bound = mDuration.boundNanos();
-        long oldest = 0;
+    private Map<CallTarget, Long> oldestStarts() {
+        if (mStopsAt == null) {
+            return Map.of();
+        }
+        Map<CallTarget, Long> oldest = new HashMap<>();
         for (Call call : mCalls.values()) {
-            if (call.mTarget == target) {
-                oldest = Math.max(oldest, nowNanos - call.mStartedAt);
+            if (call.mTarget != null) {
+                oldest.merge(
+                        call.mTarget, call.mStartedAt, (a, b) -> a.longValue() - b > 0 ? b : a);
             }
         }
-        return oldest > bound ? 2 * oldest : bound;
+        return oldest;
+    }
+
+    /**
+     * Returns whether a call that is sent to an upstream now will have its answer before the
+     * instance stops. A call in progress there that exceeds the usual bound shows that the upstream
+     * has become slow, before any answer does; on average, half of such a call's duration has
+     * passed.
+     */
+    private boolean canFinishAt(
+            CallTarget target, Call call, Map<CallTarget, Long> oldestStarts, long nowNanos) {
+        long bound = mDuration.boundNanos();
+        long oldest = nowNanos - oldestStarts.getOrDefault(target, nowNanos);
+        return canFinish(call, oldest > bound ? 2 * oldest : bound, nowNanos);
     }
 
     private void finishStopping(Call call, long nowNanos) {
@@ -391,13 +406,14 @@
     }
 
     private @Nullable CallTarget chooseTarget(Call call, long nowNanos) {
+        Map<CallTarget, Long> oldestStarts = oldestStarts();
         CallTarget best = null;
         double bestCost = 0;
         for (CallTarget target : mTargets.values()) {
             if (!target.isUsable() || !mLimits.isPermitted(target.upstream(), nowNanos)) {
                 continue;
             }
-            double cost = cost(target, call, nowNanos);
+            double cost = cost(target, call, oldestStarts, nowNanos);
             if (best == null || cost < bestCost) {
                 best = target;
                 bestCost = cost;
@@ -430,14 +446,15 @@
     }
 
     /** Returns the cost of a target, milliseconds; ties are broken at random. */
-    private double cost(CallTarget target, Call call, long nowNanos) {
+    private double cost(
+            CallTarget target, Call call, Map<CallTarget, Long> oldestStarts, long nowNanos) {
         Distance distance = mLocations.distance(target.upstream().zone());
         double cost = target.cost(mDuration.meanMillis(), distance, nowNanos);
         cost += TIE_MILLIS * mRandom.nextDouble();
         if (call.mTried.contains(target.upstream().id())) {
             cost += CallTarget.LAST_RESORT_COST_MILLIS;
         }
-        if (mStopsAt != null && !canFinish(call, boundNanos(target, nowNanos), nowNanos)) {
+        if (!canFinishAt(target, call, oldestStarts, nowNanos)) {
             cost += CallTarget.LAST_RESORT_COST_MILLIS;
         }
         return cost;
