Refuse a request that has not run when the process ends

Callers could have seen: 502 for a request that every upstream had rejected, so that one that may not be repeated could not be sent again.

Cause: at the end of a stop, any request with an attempt so far counted as one that may have run, also when the attempt was rejected or never sent.

Change: only an attempt in progress, or one that ended otherwise than as not executed, makes it so. Found by the review; the tests go with the change (ExchangeTest.aRejectedRequestIsNotReportedAsRunWhenTheInstanceEnds).

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -52,7 +52,7 @@
     private long mLastEvent;
     private boolean mHeadSent;
     private boolean mDone;
-    private boolean mStarted;
+    private boolean mMayHaveRun;
     private int mForwardedEvents;
     private long mFirstAt;
     private long mLastForwardedAt;
@@ -96,7 +96,6 @@
             return;
         }
         cancelAttempt();
-        mStarted = true;
         mErrorResponse = null;
         Attempt attempt = new Attempt(start);
         mAttempt = attempt;
@@ -158,7 +157,8 @@
                         mWork,
                         answered
                                 ? Decision.Ending.UPSTREAM_ERROR
-                                : mStarted ? Decision.Ending.UNKNOWN : Decision.Ending.REFUSED,
+                                : mAttempt != null || mMayHaveRun
+                                        ? Decision.Ending.UNKNOWN : Decision.Ending.REFUSED,
                         WorkScheduler.STOPPING_RETRY,
                         "the instance is stopping"));
     }
@@ -174,6 +174,7 @@
     private void cancelAttempt() {
         Attempt attempt = mAttempt;
         mAttempt = null;
+        mMayHaveRun |= attempt != null;
         if (attempt != null && attempt.mCall != null) {
             attempt.mCall.cancel();
         }
@@ -184,6 +185,7 @@
             return;
         }
         mAttempt = null;
+        mMayHaveRun |= !end.isNotExecuted();
         mCollaborators
                 .control()
                 .attemptEnded(mWork.id(), attempt.mStart.attempt(), end, cause, attempt.load());
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -87,6 +87,28 @@
         assertThat(mControl.mLog).containsExactly("ended 1 REJECTED");
     }
 
+    /** A caller that is told that its request may have run can't send it again. */
+    @Test
+    void aRejectedRequestIsNotReportedAsRunWhenTheInstanceEnds() {
+        Exchange exchange = exchange(RequestKind.SINGLE_CALL, 0);
+        start(exchange, 1, FIRST);
+        Sent sent = mSent.getFirst();
+        sent.listener().onHead(head(503, false, false, true), new DefaultHttpHeaders());
+        sent.listener().onComplete();
+        exchange.instanceEnds();
+
+        assertThat(mCaller.mLog).containsExactly("own answer 503");
+    }
+
+    @Test
+    void aRequestInProgressMayHaveRunWhenTheInstanceEnds() {
+        Exchange exchange = exchange(RequestKind.SINGLE_CALL, 0);
+        start(exchange, 1, FIRST);
+        exchange.instanceEnds();
+
+        assertThat(mCaller.mLog).containsExactly("own answer 502");
+    }
+
     @Test
     void anErrorNotMarkedNotRunCountsAsExecuted() {
         Exchange exchange = exchange(RequestKind.SINGLE_CALL, 0);
