Require answers in each second of a planned stop

The check on the number of answers had become one answer for each caller, which a stop that refuses everything after its first moments would pass. Each caller must now get answers of executed calls in each of the first three seconds; the grace period is four.

--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/PlannedStopTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/PlannedStopTest.java
@@ -4,12 +4,14 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -17,9 +19,10 @@
 /** Guards against requests that a stopping instance has read and cuts off without an answer. */
 class PlannedStopTest {
     private static final Duration GRACE = Duration.ofSeconds(4);
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
 
     private final Set<String> mExecuted = ConcurrentHashMap.newKeySet();
-    private volatile boolean mStopBegan;
+    private volatile @Nullable Long mStoppedAt;
     private GatewayFleet mFleet;
     private ScriptedUpstream mDesk;
     private ScriptedUpstream mWriter;
@@ -107,7 +110,7 @@
     /** Callers go on to use their connections until they are closed, and open new ones. */
     @Test
     void everyRequestThatIsReadDuringTheStopIsAnswered() throws Exception {
-        List<Future<Integer>> callers = new ArrayList<>();
+        List<Future<Set<Long>>> callers = new ArrayList<>();
         long end = System.nanoTime() + GRACE.plusMillis(500).toNanos();
         try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
             for (int i = 0; i < 40; i++) {
@@ -116,19 +119,21 @@
             }
             Thread.sleep(200);
             GatewayFleet.stop(mInstance);
-            mStopBegan = true;
-            for (Future<Integer> caller : callers) {
-                assertThat(caller.get()).as("answers to a caller during the stop").isPositive();
+            mStoppedAt = System.nanoTime();
+            for (Future<Set<Long>> caller : callers) {
+                assertThat(caller.get())
+                        .as("seconds of the stop in which a caller got an answer")
+                        .contains(0L, 1L, 2L);
             }
         }
     }
 
     /**
-     * Returns the number of calls that were executed and answered during the stop; fails when an
+     * Returns the seconds of the stop in which calls were executed and answered; fails when an
      * executed call got no answer.
      */
-    private int callUntil(long end, String name) throws Exception {
-        int answered = 0;
+    private Set<Long> callUntil(long end, String name) throws Exception {
+        Set<Long> answered = new HashSet<>();
         for (int i = 0; System.nanoTime() - end < 0; ) {
             try (RawCaller caller = mInstance.caller()) {
                 boolean open = true;
@@ -145,7 +150,10 @@
                     if (response.status() == 503) {
                         assertThat(mExecuted).as("executed, but refused").doesNotContain(id);
                     }
-                    answered += mStopBegan && response.status() == 200 ? 1 : 0;
+                    Long stoppedAt = mStoppedAt;
+                    if (stoppedAt != null && response.status() == 200) {
+                        answered.add((System.nanoTime() - stoppedAt) / SECOND);
+                    }
                     open = !"close".equals(response.headers().get("connection"));
                 }
             } catch (java.net.ConnectException e) {
