Send the body of a rejection after a HEAD request

Callers could have seen: a rejection whose head states a length that no body follows, on a connection whose last request was a HEAD request.

Cause: the kind of the last request decided on the body. Found by the review; EdgeConnectionTest.aRejectionAfterAHeadRequestHasItsBody goes with the change.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
@@ -304,6 +304,8 @@
 
     private void reject(ChannelHandlerContext context, HttpResponseStatus status, String message) {
         mClosing = true;
+        // The rejection answers no HEAD request, so it has a body.
+        mHeadRequest = false;
         discardRequest();
         byte[] bytes = (message + "\n").getBytes(StandardCharsets.UTF_8);
         DefaultFullHttpResponse response =
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
@@ -237,6 +237,17 @@
         assertThat(written()).contains("content-length: 1").endsWith("\r\n\r\n");
     }
 
+    /** The length in its head would otherwise be that of a body that does not follow. */
+    @Test
+    void aRejectionAfterAHeadRequestHasItsBody() {
+        send("HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n");
+        mChannels.getFirst().respond(200, new DefaultHttpHeaders(), new byte[] {'x'});
+        written();
+        send("no request\r\n\r\n");
+
+        assertThat(written()).contains("400").endsWith("the request is not valid HTTP/1.1\n");
+    }
+
     @Test
     void retryAfterIsGivenInFractionsOfASecond() {
         send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
