Take no stream without an event for a whole one

A caller got 200 with an empty body, framed as whole, when an engine's connection ended after the head of a stream without framing. The kernel ends the connection of a process that dies in order, so that this can't be told from the end of the stream. Any stream has at least one event, if only the mark of its end (docs/design.md, 3.1), so that an attempt that ends without one, for a caller that has none either, is now LOST, and the next engine is asked. An attempt that has nothing after the caller's last event still ends the stream.

Evidence, on sockets: BrokenAnswerTest.aStreamThatIsCutBeforeItsFirstEventIsAnError (formerly aStreamWhoseHeadIsCutIsAnError, one more cut point) without the fix: Expecting actual: 200 to be greater than or equal to: 500. ExchangeTest.aStreamWithoutAnyEventIsNotComplete without the fix: Expecting actual: ["delivered 1"] to contain exactly: ["ended 1 LOST"].

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -492,6 +492,12 @@
                 endAttempt(this, AttemptEnd.LOST, "the stream ends within an event");
                 return;
             }
+            if (!mHeadSent && mLastEvent == 0) {
+                // Any stream has an event, if only the mark of its end (docs/design.md, 3.1). The
+                // upstream may have ended after the head of a response without framing.
+                endAttempt(this, AttemptEnd.LOST, "the stream ends without an event");
+                return;
+            }
             if (mLastNumber > 0 && mLastNumber < mLastEvent) {
                 // The upstream has begun anew instead of continuing, and its stream is a shorter
                 // one.
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/BrokenAnswerTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/BrokenAnswerTest.java
@@ -141,7 +141,7 @@
     /** The only engine cuts each answer, so that no other one can answer. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
-    void aStreamWhoseHeadIsCutIsAnError(boolean reset) throws Exception {
+    void aStreamThatIsCutBeforeItsFirstEventIsAnError(boolean reset) throws Exception {
         List<String> begins =
                 List.of(
                         "HTTP/1.1 2",
@@ -149,6 +149,7 @@
                         "HTTP/1.1 200 OK\r\nx-id: %s\r\nx-signed: 1\r\nx-eve",
                         "HTTP/1.1 200 OK\r\nx-id: %s\r\nx-signed: 1\r\nx-events: 1\r\n",
                         "HTTP/1.0 200 OK\r\nx-id: %s\r\nx-signed: 1\r\nx-events: 1\r\n\r",
+                        "HTTP/1.1 200 OK\r\nx-id: %s\r\nx-signed: 1\r\nx-events: 1\r\n\r\n",
                         "HTTP/1.1 100 Continue\r\n\r\n");
         String ids = "cut-stream-" + reset + "-";
         sWriter.script(
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -472,6 +472,30 @@
         assertThat(mControl.mLog).containsExactly("ended 1 RESET", "delivered 2");
     }
 
+    /** The caller would get a success with an empty body. */
+    @Test
+    void aStreamWithoutAnyEventIsNotComplete() {
+        Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 0);
+        start(exchange, 1, FIRST);
+        events(0, "");
+        mSent.getFirst().listener().onComplete();
+
+        assertThat(mControl.mLog).containsExactly("ended 1 LOST");
+        assertThat(mCaller.mLog).isEmpty();
+    }
+
+    /** The caller may have received all events before it lost its connection. */
+    @Test
+    void aReconnectingCallerMayGetNoFurtherEvent() {
+        Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 3);
+        start(exchange, 1, FIRST);
+        events(0, "");
+        mSent.getFirst().listener().onComplete();
+
+        assertThat(mControl.mLog).containsExactly("delivered 1");
+        assertThat(mCaller.mLog).containsExactly("begin 200", "end");
+    }
+
     /** The end of a cancelled attempt, which arrives late, is not that of the next one. */
     @Test
     void theEndOfAnEarlierAttemptDoesNotEndAStream() {
