--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/BrokenAnswerTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/BrokenAnswerTest.java
@@ -141,7 +141,7 @@
     /** The only engine cuts each answer, so that no other one can answer. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
-    void aStreamWhoseHeadIsCutIsAnError(boolean reset) throws Exception {
+    void aStreamThatIsCutBeforeItsFirstEventIsAnError(boolean reset) throws Exception {
         List<String> begins =
                 List.of(
                         "HTTP/1.1 2",
@@ -149,6 +149,7 @@
                         "HTTP/1.1 200 OK\r\nx-id: %s\r\nx-signed: 1\r\nx-eve",
                         "HTTP/1.1 200 OK\r\nx-id: %s\r\nx-signed: 1\r\nx-events: 1\r\n",
                         "HTTP/1.0 200 OK\r\nx-id: %s\r\nx-signed: 1\r\nx-events: 1\r\n\r",
+                        "HTTP/1.1 200 OK\r\nx-id: %s\r\nx-signed: 1\r\nx-events: 1\r\n\r\n",
                         "HTTP/1.1 100 Continue\r\n\r\n");
         String ids = "cut-stream-" + reset + "-";
         sWriter.script(
@@ -283,6 +284,11 @@
         AtomicInteger attempts = new AtomicInteger();
         sWriter.script(
                 (request, connection) -> {
+                    if (request.id().isEmpty()) {
+                        // The check of an engine after the losses of a test before is no attempt.
+                        connection.write(ScriptedUpstream.success(request, "alive"));
+                        return;
+                    }
                     if (attempts.incrementAndGet() == 1) {
                         connection.write(ScriptedUpstream.streamHead(request));
                         connection.write("id: 1\ndata: a\n\n");
@@ -307,6 +313,10 @@
         AtomicInteger attempts = new AtomicInteger();
         sWriter.script(
                 (request, connection) -> {
+                    if (request.id().isEmpty()) {
+                        connection.write(ScriptedUpstream.success(request, "alive"));
+                        return;
+                    }
                     connection.write(ScriptedUpstream.streamHead(request));
                     int last = Integer.parseInt(request.headers().getOrDefault("x-last", "0"));
                     for (int event = last + 1; event <= 6; event++) {
