Bound what a long response takes while it waits for its caller

A response of more than 256 KiB is forwarded as it arrives, and reading pauses while its caller does not read. What had been buffered until then went to the channel as one part, for which the channel takes direct memory beyond the mark at which writing should stop, and the array in which further parts were collected kept twice its size. Fifty callers that do not read a long body took more than an instance has.

Parts are now written in pieces of 32 KiB until the mark is reached; the rest waits on the heap. Parts that follow the first ones are passed on without being collected again, and the array is released.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
@@ -49,6 +49,9 @@
      */
     private static final int MAX_PIPELINED_BYTES = 16 << 10;
 
+    /** Size of the pieces in which a response is written that is not complete yet, bytes. */
+    private static final int MAX_PIECE_BYTES = 32 << 10;
+
     private static final double MILLIS_PER_SECOND = 1000;
 
     /** Time for which the rest of a rejected request is read and dropped before the close. */
@@ -458,30 +461,52 @@
                 return;
             }
             if (isWritable()) {
-                writeContent(part);
+                int written = writeWhileWritable(part);
+                mHeld.write(part, written, part.length - written);
             } else {
                 mHeld.writeBytes(part);
             }
         }
 
-        /** Writes the held parts as one; does nothing while the caller does not read. */
+        /** Writes the held parts as far as the caller reads. */
         void writeHeld() {
-            if (!mDone && mCallerContext.channel().isWritable()) {
-                flushHeld();
+            if (mDone || mHeld.size() == 0 || !mCallerContext.channel().isWritable()) {
+                return;
             }
+            byte[] held = mHeld.toByteArray();
+            mHeld = new ByteArrayOutputStream(0);
+            int written = writeWhileWritable(held);
+            mHeld.write(held, written, held.length - written);
         }
 
+        /** Writes all held parts, at the end of the response. */
         private void flushHeld() {
             if (mHeld.size() > 0) {
                 byte[] held = mHeld.toByteArray();
                 mHeld = new ByteArrayOutputStream(0);
-                writeContent(held);
+                writeContent(held, 0, held.length);
+            }
+        }
+
+        /**
+         * Writes a part in pieces until the channel has no room; what waits there takes direct
+         * memory, of which an instance has less than heap.
+         *
+         * @return the number of bytes written
+         */
+        private int writeWhileWritable(byte[] part) {
+            int written = 0;
+            while (written < part.length && mCallerContext.channel().isWritable()) {
+                int length = Math.min(part.length - written, MAX_PIECE_BYTES);
+                writeContent(part, written, length);
+                written += length;
             }
+            return written;
         }
 
-        private void writeContent(byte[] part) {
+        private void writeContent(byte[] part, int from, int length) {
             mCallerContext.writeAndFlush(
-                    new DefaultHttpContent(Unpooled.wrappedBuffer(part)),
+                    new DefaultHttpContent(Unpooled.wrappedBuffer(part, from, length)),
                     mCallerContext.voidPromise());
         }
 
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -223,7 +223,7 @@
     /** One attempt at an upstream. */
     private final class Attempt implements UpstreamListener {
         private final Decision.Start mStart;
-        private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+        private ByteArrayOutputStream mBody = new ByteArrayOutputStream();
         private final EventSplitter mSplitter = new EventSplitter();
         private @Nullable UpstreamCall mCall;
         private @Nullable ResponseHead mHead;
@@ -336,6 +336,11 @@
                 }
                 return;
             }
+            if (mBegun) {
+                mChannel.write(part);
+                pauseIfUnwritable();
+                return;
+            }
             mBody.writeBytes(part);
             if (mBody.size() > MAX_BUFFERED_BYTES) {
                 forwardBuffered();
@@ -355,7 +360,6 @@
             if (mStreaming) {
                 completeStream();
             } else if (mBegun) {
-                mChannel.write(mBody.toByteArray());
                 mChannel.end();
                 completeDelivery(this);
             } else if (head.isSuccess() && mHeadSent) {
@@ -428,7 +432,7 @@
                 cancelCall();
                 return;
             }
-            if (mHeadSent && !mBegun) {
+            if (mHeadSent) {
                 // The response of another attempt has begun; this one can't replace it.
                 cancelCall();
                 endAttempt(
@@ -437,13 +441,12 @@
                         "the response does not continue the stream");
                 return;
             }
-            if (!mBegun) {
-                mBegun = true;
-                mHeadSent = true;
-                mChannel.writeHead(head.status(), headers);
-            }
-            mChannel.write(mBody.toByteArray());
-            mBody.reset();
+            mBegun = true;
+            mHeadSent = true;
+            mChannel.writeHead(head.status(), headers);
+            byte[] buffered = mBody.toByteArray();
+            mBody = new ByteArrayOutputStream(0);
+            mChannel.write(buffered);
             pauseIfUnwritable();
         }
 
