Release responses to queries when they are complete

Each query of an engine was held by its timer until the timeout, and with it the response, of up to 1 MiB in an array of twice that. The timer is now cancelled and the array released with the result. A response that exceeds 1 MiB is abandoned before the part that exceeds it is kept.

EngineQueryClientTest.responsesAreReleasedWithTheirQueries failed before: "[bytes retained] Expecting actual: 209973696L to be less than: 10485760L" after a hundred complete queries. aResponseWithoutEndIsAbandoned held before.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/EngineQueryClient.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/EngineQueryClient.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -113,9 +114,10 @@
         private final Upstream mEngine;
         private final String mPath;
         private final Consumer<@Nullable Response> mCallback;
-        private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+        private ByteArrayOutputStream mBody = new ByteArrayOutputStream();
         private @Nullable UpstreamCall mCall;
         private @Nullable ResponseHead mHead;
+        private @Nullable ScheduledFuture<?> mTimer;
         private boolean mResent;
         private boolean mDone;
 
@@ -133,7 +135,9 @@
                 LOG.errorf(e, "a query of upstream %s failed", mEngine.id());
                 complete(null);
             }
-            mTraffic.schedule(this::expire, timeout.toMillis(), TimeUnit.MILLISECONDS);
+            if (!mDone) {
+                mTimer = mTraffic.schedule(this::expire, timeout.toMillis(), TimeUnit.MILLISECONDS);
+            }
         }
 
         private void send() {
@@ -165,10 +169,14 @@
 
         @Override
         public void onBody(byte[] part) {
-            mBody.writeBytes(part);
-            if (mBody.size() > MAX_BODY_BYTES) {
+            if (mDone) {
+                return;
+            }
+            if (mBody.size() + part.length > MAX_BODY_BYTES) {
                 expire();
+                return;
             }
+            mBody.writeBytes(part);
         }
 
         @Override
@@ -189,10 +197,17 @@
         }
 
         private void complete(@Nullable Response response) {
-            if (!mDone) {
-                mDone = true;
-                mCallback.accept(response);
+            if (mDone) {
+                return;
+            }
+            mDone = true;
+            // The timer holds the query, and with it the response, until the timeout.
+            mBody = new ByteArrayOutputStream(0);
+            ScheduledFuture<?> timer = mTimer;
+            if (timer != null) {
+                timer.cancel(false);
             }
+            mCallback.accept(response);
         }
     }
 }
--- /dev/null
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/control/EngineQueryClientTest.java
@@ -0,0 +1,90 @@
+package org.gentianwalk.gateway.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.gentianwalk.core.dispatch.Upstream;
+import org.gentianwalk.gateway.ManualExecutor;
+import org.gentianwalk.gateway.http.PlainDialect;
+import org.gentianwalk.gateway.http.UpstreamCall;
+import org.gentianwalk.gateway.http.UpstreamListener;
+import org.gentianwalk.gateway.wire.ResponseHead;
+import org.junit.jupiter.api.Test;
+
+/** Guards against responses of engines to queries that fill the memory or get no result. */
+class EngineQueryClientTest {
+    private static final Upstream ENGINE =
+            new Upstream("engine", 1, "service", "10.0.0.1:80", "a", 6, false);
+    private static final ResponseHead HEAD =
+            new ResponseHead(
+                    null, 200, false, false, null, true, false, null, null, false, null, null);
+
+    private final ManualExecutor mTraffic = new ManualExecutor();
+    private final List<UpstreamListener> mListeners = new ArrayList<>();
+    private final List<List<Long>> mResults = new ArrayList<>();
+    private int mCancelled;
+    private final EngineQueryClient mClient =
+            new EngineQueryClient(
+                    (address, request, listener) -> {
+                        mListeners.add(listener);
+                        return new UpstreamCall() {
+                            @Override
+                            public void cancel() {
+                                mCancelled++;
+                            }
+
+                            @Override
+                            public void setReading(boolean reading) {}
+                        };
+                    },
+                    new PlainDialect(),
+                    mTraffic);
+
+    /** An engine that is out of order may send bytes until the timeout. */
+    @Test
+    void aResponseWithoutEndIsAbandoned() {
+        UpstreamListener listener = query();
+        for (int i = 0; i < 17; i++) {
+            listener.onBody(new byte[64 << 10]);
+        }
+
+        assertThat(mCancelled).isEqualTo(1);
+        assertThat(mResults).containsExactly(List.of());
+        listener.onBody(new byte[64 << 10]);
+        mTraffic.advance(Duration.ofSeconds(1));
+        assertThat(mResults).as("one result").hasSize(1);
+        assertThat(mCancelled).isEqualTo(1);
+    }
+
+    /** Timers kept the responses of complete queries until the timeouts. */
+    @Test
+    void responsesAreReleasedWithTheirQueries() {
+        long before = usedBytes();
+        for (int i = 0; i < 100; i++) {
+            UpstreamListener listener = query();
+            listener.onBody(new byte[1 << 20]);
+            listener.onComplete();
+            mListeners.clear();
+        }
+
+        assertThat(mResults).hasSize(100);
+        assertThat(usedBytes() - before).as("bytes retained").isLessThan(10 << 20);
+    }
+
+    private UpstreamListener query() {
+        mClient.fetchParts(ENGINE, (leaving, parts) -> mResults.add(parts));
+        mTraffic.runAll();
+        UpstreamListener listener = mListeners.getLast();
+        listener.onHead(HEAD, new DefaultHttpHeaders());
+        return listener;
+    }
+
+    private static long usedBytes() {
+        System.gc();
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+}
