Bound frames of peers that are not authenticated

A mesh connection held a frame of up to 4 MiB before its sender had shown that it knows a key, for as long as it sent something within the idle timeout of 60 s. Whoever can open connections to an instance could fill its memory with 24 of them.

Until the hello of the peer is valid, a frame may have 4 KiB; a hello has less than 1 KiB. A longer one is counted as oversized and closes the connection, as before.

MeshNodeTest.aLargeFrameIsNotReadBeforeItsSenderIsAuthenticated failed before (no oversized frame was counted within 5 s); it also sends a frame of 3 MiB after a valid hello, which is handled.

--- a/gentianwalk-server/src/main/java/org/gentianwalk/server/mesh/MeshConnection.java
+++ b/gentianwalk-server/src/main/java/org/gentianwalk/server/mesh/MeshConnection.java
@@ -78,6 +78,11 @@
         return mClosed;
     }
 
+    /** Returns whether the hello of the peer was valid. */
+    boolean isAuthenticated() {
+        return mInbound != null;
+    }
+
     /** Queues a message for the event loop; fails immediately when too many bytes are queued. */
     void submit(Frame frame) {
         int size = frame.payload().size();
--- a/gentianwalk-server/src/main/java/org/gentianwalk/server/mesh/MeshNode.java
+++ b/gentianwalk-server/src/main/java/org/gentianwalk/server/mesh/MeshNode.java
@@ -7,6 +7,7 @@
 import com.google.protobuf.Parser;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -22,6 +23,7 @@
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
+import java.nio.ByteOrder;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -46,6 +48,14 @@
 public final class MeshNode implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(MeshNode.class);
 
+    /**
+     * Maximum size of a frame before its sender is authenticated, bytes. A hello holds an
+     * identifier, a challenge and a code, together less than 1 KiB. Without this limit, anyone who
+     * can open connections could make the instance hold {@link MeshOptions#maxFrameBytes()} on
+     * each.
+     */
+    private static final int MAX_HELLO_BYTES = 4 << 10;
+
     private final MeshSender mSelf;
     private final MeshOptions mOptions;
     private final MeshCounters mCounters;
@@ -279,9 +289,7 @@
                 .addLast(
                         new IdleStateHandler(
                                 0, 0, mOptions.idleTimeout().toMillis(), TimeUnit.MILLISECONDS))
-                .addLast(
-                        new LengthFieldBasedFrameDecoder(
-                                mOptions.maxFrameBytes(), 0, Integer.BYTES, 0, Integer.BYTES))
+                .addLast(new FrameDecoder(mOptions.maxFrameBytes(), connection))
                 .addLast(connection);
     }
 
@@ -330,6 +338,24 @@
         return connection;
     }
 
+    /** Splits the bytes of a connection into frames; limits the first frame to a hello's size. */
+    private static final class FrameDecoder extends LengthFieldBasedFrameDecoder {
+        private final MeshConnection mConnection;
+
+        FrameDecoder(int maxFrameBytes, MeshConnection connection) {
+            super(maxFrameBytes, 0, Integer.BYTES, 0, Integer.BYTES);
+            mConnection = connection;
+        }
+
+        @Override
+        protected long getUnadjustedFrameLength(
+                ByteBuf bytes, int offset, int length, ByteOrder order) {
+            long size = super.getUnadjustedFrameLength(bytes, offset, length, order);
+            boolean accepted = mConnection.isAuthenticated() || size <= MAX_HELLO_BYTES;
+            return accepted ? size : Integer.MAX_VALUE;
+        }
+    }
+
     /** The handler of one message type. */
     private record Route<T extends MessageLite>(Parser<T> parser, MeshHandler<T> handler) {
         void dispatch(MeshConnection connection, Envelope envelope)
--- a/gentianwalk-server/src/test/java/org/gentianwalk/server/mesh/MeshNodeTest.java
+++ b/gentianwalk-server/src/test/java/org/gentianwalk/server/mesh/MeshNodeTest.java
@@ -188,6 +188,32 @@
         assertThat(mHandled).hasValue(1);
     }
 
+    /** Guards against peers without a key that fill the memory with the begin of a large frame. */
+    @Test
+    void aLargeFrameIsNotReadBeforeItsSenderIsAuthenticated() throws Exception {
+        MeshNode node = node("b", MeshOptions.DEFAULT, OLD);
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), mPort)) {
+            DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+            out.writeInt(3 << 20);
+            out.flush();
+            await(() -> node.counters().dropped(MeshCounters.DropReason.OVERSIZED) == 1);
+        }
+        try (RawPeer raw = connect()) {
+            CallQuery large =
+                    CallQuery.newBuilder().setNonce(ByteString.copyFrom(new byte[3 << 20])).build();
+            Envelope.Builder envelope =
+                    Envelope.newBuilder()
+                            .setSender("raw")
+                            .setType(MessageType.CALL_QUERY)
+                            .setPayload(large.toByteString())
+                            .setSequence(1);
+            raw.send(
+                    new FrameAuthenticator(raw.mPeerChallenge, raw.mChallenge, "b")
+                            .sign(envelope, OLD));
+            await(() -> mHandled.get() == 1);
+        }
+    }
+
     /**
      * Guards against lost requests while a new key is rolled out to one instance after the other.
      */
