Bound the bodies of all requests together

Each body is bounded by the configuration, by up to 4 MiB, and is kept until its request has a response. The bodies of all requests in progress were not bounded: 24 callers whose requests wait, with a body of that size each, took as much as the heap of 96 MiB.

Bodies now take at most 24 MiB together; a request whose body finds no room gets 503 with a retry-after time of a second. Nothing of it has been sent to an upstream then.

EdgeConnectionTest: aBodyIsRefusedWhileOthersTakeAllRoom fails when the budget is not enforced, as it was before; the room is returned after the response, a rejection and a disconnect.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
@@ -52,6 +52,9 @@
     /** Size of the pieces in which a response is written that is not complete yet, bytes. */
     private static final int MAX_PIECE_BYTES = 32 << 10;
 
+    /** Retry-after time when the bodies of other requests take all room, seconds. */
+    private static final String FULL_RETRY = "1.000";
+
     private static final double MILLIS_PER_SECOND = 1000;
 
     /** Time for which the rest of a rejected request is read and dropped before the close. */
@@ -59,6 +62,11 @@
 
     private final EdgeOptions mOptions;
     private final RequestHandler mHandler;
+    private final BodyBudget mBodies;
+
+    /** Bytes that the body of the current request has taken from the budget. */
+    private int mBodyBytes;
+
     private CallerInput mInput = () -> {};
     private @Nullable ChannelHandlerContext mContext;
     private @Nullable HttpRequest mHead;
@@ -73,9 +81,10 @@
     private boolean mHeadRequest;
     private boolean mClosing;
 
-    EdgeConnection(EdgeOptions options, RequestHandler handler) {
+    EdgeConnection(EdgeOptions options, RequestHandler handler, BodyBudget bodies) {
         mOptions = options;
         mHandler = handler;
+        mBodies = bodies;
     }
 
     @Override
@@ -254,6 +263,15 @@
                     "send a body of at most " + limits.maxBodyBytes() + " bytes");
             return;
         }
+        int length = content.content().readableBytes();
+        if (!mBodies.take(length)) {
+            reject(
+                    context,
+                    HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    "the instance has too many long requests; retry in a second");
+            return;
+        }
+        mBodyBytes += length;
         body.writeBytes(content.content());
         if (!(content instanceof LastHttpContent)) {
             return;
@@ -309,6 +327,9 @@
                 .set(HttpHeaderNames.CONTENT_LENGTH, bytes.length)
                 .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN)
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, FULL_RETRY);
+        }
         context.writeAndFlush(response).addListener(written -> linger(context));
     }
 
@@ -326,11 +347,18 @@
     private void discardRequest() {
         mHead = null;
         mBody = null;
+        releaseBody();
+    }
+
+    private void releaseBody() {
+        mBodies.release(mBodyBytes);
+        mBodyBytes = 0;
     }
 
     private void responseCompleted(ChannelHandlerContext context, boolean keep) {
         mResponse = null;
         mCallerListener = null;
+        releaseBody();
         mTimeoutStart = mOptions.ticker().nanos();
         if (!keep) {
             mClosing = true;
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeServer.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeServer.java
@@ -29,6 +29,7 @@
     private final EventLoopGroup mGroup;
     private final EdgeOptions mOptions;
     private final RequestHandler mHandler;
+    private final BodyBudget mBodies = new BodyBudget();
     private final Set<EdgeConnection> mConnections =
             Collections.newSetFromMap(new IdentityHashMap<>());
     private volatile @org.jspecify.annotations.Nullable Channel mListener;
@@ -103,7 +104,7 @@
 
     private void accept(Channel channel) {
         CallerLimits limits = mOptions.limits().get();
-        EdgeConnection connection = new EdgeConnection(mOptions, mHandler);
+        EdgeConnection connection = new EdgeConnection(mOptions, mHandler, mBodies);
         mConnections.add(connection);
         channel.closeFuture().addListener(closed -> mConnections.remove(connection));
         channel.pipeline().addLast(new ArrivalMonitor(connection));
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
@@ -31,6 +31,7 @@
             new CallerLimits(1024, 2048, Duration.ofSeconds(3), Duration.ofSeconds(15));
 
     private final ManualTicker mTicker = new ManualTicker();
+    private final BodyBudget mBodies = new BodyBudget();
     private final List<CallerRequest> mRequests = new ArrayList<>();
     private final List<CallerChannel> mChannels = new ArrayList<>();
     private int mDisconnects;
@@ -63,7 +64,8 @@
         mConnection =
                 new EdgeConnection(
                         new EdgeOptions(new PlainDialect(), () -> LIMITS, () -> mStopping, mTicker),
-                        handler);
+                        handler,
+                        mBodies);
         mChannel = new EmbeddedChannel(new EdgeServer.ArrivalMonitor(mConnection));
         CallerCodec.addTo(mChannel.pipeline(), 1024, mConnection);
         mChannel.pipeline()
@@ -354,6 +356,41 @@
         assertThat(written()).startsWith("HTTP/1.1 4");
     }
 
+    /** Bodies of requests that wait, each within its limit, would fill the memory together. */
+    @Test
+    void aBodyIsRefusedWhileOthersTakeAllRoom() {
+        assertThat(mBodies.take(BodyBudget.MAX_BYTES - 100)).isTrue();
+        send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 500\r\n\r\n" + "x".repeat(500));
+
+        assertThat(written()).startsWith("HTTP/1.1 503 ").contains("retry-after: 1.000");
+        assertThat(mRequests).isEmpty();
+        assertThat(mBodies.used()).isEqualTo(BodyBudget.MAX_BYTES - 100);
+    }
+
+    /** Room that is not returned would refuse all requests after a while. */
+    @Test
+    void theRoomOfABodyIsReturned() {
+        String request = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 500\r\n\r\n";
+        send(request + "x".repeat(500));
+        assertThat(mBodies.used()).isEqualTo(500);
+        mChannels.getFirst().respond(200, new DefaultHttpHeaders(), new byte[0]);
+        assertThat(mBodies.used()).as("after the response").isZero();
+
+        send(request + "x".repeat(400));
+        assertThat(mBodies.used()).isEqualTo(400);
+        elapse(Duration.ofMillis(3_100));
+        assertThat(mBodies.used()).as("after a rejection").isZero();
+    }
+
+    @Test
+    void theRoomOfABodyIsReturnedWhenItsCallerDisconnects() {
+        send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi");
+        assertThat(mBodies.used()).isEqualTo(2);
+        mChannel.close();
+
+        assertThat(mBodies.used()).isZero();
+    }
+
     private void elapse(Duration time) {
         mTicker.advance(time);
         mChannel.advanceTimeBy(time.toMillis(), TimeUnit.MILLISECONDS);
