Bound received load notices by size

Notices wait until the control thread makes its next decision. Their number was bounded, at 4,096, but each may be as large as a frame, 4 MiB. An instance that sends large notices, such as one with a very long list of leaving processes, could fill the memory of the others while their control threads are busy.

Queued notices now take at most 4 MiB; further ones are dropped, as by number, and newer ones follow.

LoadExchangeTest.queuedNoticesAreBoundedBySize failed without the bound: "[bytes of the processed notices] Expecting actual: 20971520L to be between: [1048576L, 4194304L]".

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadExchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadExchange.java
@@ -10,6 +10,7 @@
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.gentianwalk.core.dispatch.InstanceLoad;
 import org.gentianwalk.core.dispatch.PeerLoadAware;
 import org.gentianwalk.core.dispatch.PeerView;
@@ -43,6 +44,12 @@
     /** Capacity of the queue of received notices; excess ones are dropped, newer ones follow. */
     private static final int MAX_QUEUED_NOTICES = 4_096;
 
+    /**
+     * Size of the queued notices, bytes; a notice may have the size of a frame, 4 MiB. A usual one
+     * has some hundred bytes.
+     */
+    static final int MAX_QUEUED_BYTES = 4 << 20;
+
     private static final Comparator<Member> LOCATION_ORDER =
             Comparator.<Member, String>comparing(member -> member.location().region())
                     .thenComparing(member -> member.location().availabilityZone())
@@ -55,6 +62,7 @@
     private final Map<String, List<Member>> mByZone = new HashMap<>();
     private volatile List<Member> mZoneMembers = List.of();
     private final Queue<LoadNotice> mNotices = new ArrayBlockingQueue<>(MAX_QUEUED_NOTICES);
+    private final AtomicInteger mQueuedBytes = new AtomicInteger();
     private long mSentChanges = -1;
     private long mSentAt;
     private long mSentRemoteAt;
@@ -132,6 +140,7 @@
     /** Passes the queued notices to the listener. */
     void processNotices() {
         for (LoadNotice notice = mNotices.poll(); notice != null; notice = mNotices.poll()) {
+            mQueuedBytes.addAndGet(-notice.getSerializedSize());
             List<InstanceLoad> loads = new ArrayList<>();
             for (ServiceLoad service : notice.getServicesList()) {
                 loads.add(LoadCodec.decode(service));
@@ -160,7 +169,11 @@
             LoadNotice forwarded = notice.toBuilder().setRelay(false).build();
             mZoneMembers.forEach(member -> send(member, forwarded));
         }
-        mNotices.offer(notice);
+        int size = notice.getSerializedSize();
+        boolean fits = mQueuedBytes.addAndGet(size) <= MAX_QUEUED_BYTES;
+        if (!fits || !mNotices.offer(notice)) {
+            mQueuedBytes.addAndGet(-size);
+        }
     }
 
     private void send(Member member, LoadNotice notice) {
