--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
@@ -48,6 +48,12 @@
      */
     private static final int MAX_PIPELINED_BYTES = 16 << 10;
 
+    /** Size of the pieces in which a response is written that is not complete yet, bytes. */
+    private static final int MAX_PIECE_BYTES = 32 << 10;
+
+    /** Retry-after time when the bodies of other requests take all room, seconds. */
+    private static final String FULL_RETRY = "1.000";
+
     private static final double MILLIS_PER_SECOND = 1000;
 
     /** Time for which further input is read and dropped before the close. */
@@ -55,6 +61,11 @@
 
     private final EdgeOptions mOptions;
     private final RequestHandler mHandler;
+    private final BodyBudget mBodies;
+
+    /** Bytes that the body of the current request has taken from the budget. */
+    private int mBodyBytes;
+
     private CallerInput mInput = () -> {};
     private @Nullable ChannelHandlerContext mContext;
     private @Nullable HttpRequest mHead;
@@ -69,9 +80,10 @@
     private boolean mHeadRequest;
     private boolean mClosing;
 
-    EdgeConnection(EdgeOptions options, RequestHandler handler) {
+    EdgeConnection(EdgeOptions options, RequestHandler handler, BodyBudget bodies) {
         mOptions = options;
         mHandler = handler;
+        mBodies = bodies;
     }
 
     @Override
@@ -258,6 +270,15 @@
                     "send a body of at most " + limits.maxBodyBytes() + " bytes");
             return;
         }
+        int length = content.content().readableBytes();
+        if (!mBodies.take(length)) {
+            reject(
+                    context,
+                    HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    "the instance has too many long requests; retry in a second");
+            return;
+        }
+        mBodyBytes += length;
         body.writeBytes(content.content());
         if (!(content instanceof LastHttpContent)) {
             return;
@@ -315,6 +336,9 @@
                 .set(HttpHeaderNames.CONTENT_LENGTH, bytes.length)
                 .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN)
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, FULL_RETRY);
+        }
         context.writeAndFlush(response).addListener(written -> linger(context));
     }
 
@@ -334,11 +358,18 @@
     private void discardRequest() {
         mHead = null;
         mBody = null;
+        releaseBody();
+    }
+
+    private void releaseBody() {
+        mBodies.release(mBodyBytes);
+        mBodyBytes = 0;
     }
 
     private void responseCompleted(ChannelHandlerContext context, boolean keep) {
         mResponse = null;
         mCallerListener = null;
+        releaseBody();
         mTimeoutStart = mOptions.ticker().nanos();
         if (!keep) {
             mClosing = true;
@@ -469,30 +500,52 @@
                 return;
             }
             if (isWritable()) {
-                writeContent(part);
+                int written = writeWhileWritable(part);
+                mHeld.write(part, written, part.length - written);
             } else {
                 mHeld.writeBytes(part);
             }
         }
 
-        /** Writes the held parts as one; does nothing while the caller does not read. */
+        /** Writes the held parts as far as the caller reads. */
         void writeHeld() {
-            if (!mDone && mCallerContext.channel().isWritable()) {
-                flushHeld();
+            if (mDone || mHeld.size() == 0 || !mCallerContext.channel().isWritable()) {
+                return;
             }
+            byte[] held = mHeld.toByteArray();
+            mHeld = new ByteArrayOutputStream(0);
+            int written = writeWhileWritable(held);
+            mHeld.write(held, written, held.length - written);
         }
 
+        /** Writes all held parts, at the end of the response. */
         private void flushHeld() {
             if (mHeld.size() > 0) {
                 byte[] held = mHeld.toByteArray();
                 mHeld = new ByteArrayOutputStream(0);
-                writeContent(held);
+                writeContent(held, 0, held.length);
+            }
+        }
+
+        /**
+         * Writes a part in pieces until the channel has no room; what waits there takes direct
+         * memory, of which an instance has less than heap.
+         *
+         * @return the number of bytes written
+         */
+        private int writeWhileWritable(byte[] part) {
+            int written = 0;
+            while (written < part.length && mCallerContext.channel().isWritable()) {
+                int length = Math.min(part.length - written, MAX_PIECE_BYTES);
+                writeContent(part, written, length);
+                written += length;
             }
+            return written;
         }
 
-        private void writeContent(byte[] part) {
+        private void writeContent(byte[] part, int from, int length) {
             mCallerContext.writeAndFlush(
-                    new DefaultHttpContent(Unpooled.wrappedBuffer(part)),
+                    new DefaultHttpContent(Unpooled.wrappedBuffer(part, from, length)),
                     mCallerContext.voidPromise());
         }
 
