Print how long requests wait after pauses end

UpstreamNoticesTest prints the time after the pauses until all that waited is served, beside requests in breach, requests served in time and the processor time of the decisions at one instance, for docs/MEASUREMENTS.md.

--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/NoticeFleet.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/NoticeFleet.java
@@ -52,6 +52,7 @@
     private long mNumber;
     private long mNow;
     private long mCpuNanos;
+    long mLastServedAt;
     int mSentAfterNotice;
     int mOffered;
     int mGivenUp;
@@ -255,6 +256,7 @@
     private void served(int index, Decision.Start start) {
         Caller caller = mCallers.remove(start.work().id());
         mServed.add(mNow - caller.firstAt());
+        mLastServedAt = mNow;
         end(index, start, AttemptEnd.SUCCEEDED);
     }
 
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamNoticesTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamNoticesTest.java
@@ -13,6 +13,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import org.gentianwalk.core.dispatch.Decision.Ending;
@@ -233,6 +234,10 @@
                             .sum());
         }
         System.out.println("  arrivals in each half second after the pauses: " + total);
+        System.out.printf(
+                Locale.ROOT,
+                "  all that waited served %.2f s after the pauses%n",
+                (double) (fleet.mLastServedAt - end) / SECOND);
 
         assertThat(fleet.requestsInBreachOfPauses()).isZero();
         assertThat(fleet.mServed).hasSize(fleet.mOffered);
