Select engines once while all of them pause

While generations waited for the end of a pause, an engine was selected for each of them on every tick and after every event, although none accepted a request. With many waiting, the control thread could not keep up: other requests, checks and reports of the instance were late.

generationsThatWaitedStartStepByStep failed without the change at 1,000 waiting generations and ten engines: "[the control thread keeps up] Expecting actual: 11195730426L to be less than: 5670000000L", nanoseconds of processor time and of virtual time until all were served.

Once no engine accepts a request, the rest of the queue is only compared with its deadlines. Engines that are full but do not pause still cost a selection for each generation that waits.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -430,6 +430,8 @@
             return;
         }
         mWaiting.sort(QUEUE_ORDER);
+        // While no engine accepts a request, none has to be selected for each that waits.
+        long wait = 0;
         for (StreamRun run : List.copyOf(mWaiting)) {
             if (run.isInCacheWait(nowNanos)) {
                 continue;
@@ -442,7 +444,7 @@
             if (verdict == Verdict.PENDING) {
                 continue;
             }
-            EngineState engine = mSelector.select(run, nowNanos);
+            EngineState engine = wait > 0 ? null : mSelector.select(run, nowNanos);
             if (engine != null) {
                 mWaiting.remove(run);
                 start(run, engine, null, "shortest expected time to first output", nowNanos);
@@ -450,14 +452,14 @@
                 Ending ending = run.executions() == 0 ? Ending.REFUSED : Ending.UNKNOWN;
                 finish(run, ending, NO_ENGINE_RETRY, "no engine is listed");
             } else {
-                refuseIfPausedTooLong(run, nowNanos);
+                wait = wait > 0 ? wait : mSelector.shortestWaitNanos(nowNanos);
+                refuseIfPausedTooLong(run, wait, nowNanos);
             }
         }
     }
 
     /** Ends a request that no engine accepts before its deadline. */
-    private void refuseIfPausedTooLong(StreamRun run, long nowNanos) {
-        long wait = mSelector.shortestWaitNanos(nowNanos);
+    private void refuseIfPausedTooLong(StreamRun run, long wait, long nowNanos) {
         if (wait > 0 && nowNanos + wait - run.work().deadlineNanos() >= 0) {
             Ending ending = run.executions() == 0 ? Ending.REFUSED : Ending.UNKNOWN;
             Duration retry = Duration.ofNanos(mSelector.reserveRetry(nowNanos));
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/NoticeFleet.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/NoticeFleet.java
@@ -140,6 +140,11 @@
         }
     }
 
+    /** Returns the processor time that this thread has used. */
+    static long cpuNanos() {
+        return THREADS.getCurrentThreadCpuTime();
+    }
+
     List<FakeUpstream> upstreams() {
         return mUpstreams.values().stream()
                 .sorted(Comparator.comparing(fake -> fake.mUpstream.id()))
@@ -183,10 +188,10 @@
 
     private void decide(int index, Step step) {
         Instance instance = mInstances.get(index);
-        long start = THREADS.getCurrentThreadCpuTime();
+        long start = cpuNanos();
         step.apply(instance.mScheduler);
         List<Decision> decisions = instance.mScheduler.advance(mNow);
-        mCpuNanos += THREADS.getCurrentThreadCpuTime() - start;
+        mCpuNanos += cpuNanos() - start;
         for (Decision decision : decisions) {
             if (decision instanceof Decision.Start start1) {
                 send(index, start1);
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamNoticesTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/UpstreamNoticesTest.java
@@ -12,6 +12,7 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -242,15 +243,21 @@
         assertThat(fleet.requestsInBreachOfPauses()).isZero();
         assertThat(fleet.mServed).hasSize(fleet.mOffered);
         for (FakeUpstream fake : fleet.upstreams()) {
-            int before = RECOVERY_RATE / 2;
-            for (int half = 0; half < 20; half++) {
-                long from = end + half * SECOND / 2;
-                int arrived = fake.arrivals(from, from + SECOND / 2);
-                assertThat(arrived)
-                        .as("%s, half second %d after its pause", fake.mUpstream.id(), half)
-                        .isLessThanOrEqualTo(2 * before + RECOVERY_RATE / 2);
-                before = Math.max(before, arrived);
-            }
+            assertGrowsStepByStep(fake.mUpstream.id(), fake.mArrivals, end);
+        }
+    }
+
+    /** Checks that no half second has more than twice the requests of those before it. */
+    private static void assertGrowsStepByStep(String upstream, List<Long> times, long end) {
+        int before = RECOVERY_RATE / 2;
+        for (int half = 0; half < 20; half++) {
+            long from = end + half * SECOND / 2;
+            int arrived =
+                    (int) times.stream().filter(at -> at >= from && at < from + SECOND / 2).count();
+            assertThat(arrived)
+                    .as("%s, half second %d after its pause", upstream, half)
+                    .isLessThanOrEqualTo(2 * before + RECOVERY_RATE / 2);
+            before = Math.max(before, arrived);
         }
     }
 
@@ -318,6 +325,61 @@
         assertThat(started).hasSizeGreaterThanOrEqualTo(Math.min(3, waiting - before.size()));
     }
 
+    /** Generations wait for a pause that ends in time, and must not start all at once then. */
+    @ParameterizedTest
+    @ValueSource(ints = {10, 100, 1_000})
+    void generationsThatWaitedStartStepByStep(int waiting) {
+        UpstreamLimits limits = Samples.limits();
+        StreamScheduler scheduler = Samples.streamScheduler(limits);
+        listEngines(UPSTREAMS);
+        scheduler.replaceUpstreams(mEngines, 0);
+        mEngines.forEach(engine -> limits.recordPause(engine, Duration.ofSeconds(2), 0));
+        for (int id = 1; id <= waiting; id++) {
+            scheduler.offer(Samples.stream(id, 1, 20, 0), 0);
+        }
+        Map<String, List<Long>> startsAt = new HashMap<>();
+        Map<Long, Long> running = new LinkedHashMap<>();
+        long cpu = 0;
+        int served = 0;
+        long now = 0;
+        for (; now < 20 * SECOND && served < waiting; now += 10 * MS) {
+            long time = now;
+            List<Long> ended =
+                    running.keySet().stream()
+                            .filter(id -> time - running.get(id) >= 50 * MS)
+                            .toList();
+            long before = NoticeFleet.cpuNanos();
+            for (long id : ended) {
+                scheduler.recordProgress(id, 1, new Progress(1, now, 0));
+                scheduler.recordAttemptEnd(id, 1, AttemptEnd.SUCCEEDED, now);
+            }
+            List<Decision> decisions = scheduler.advance(now);
+            cpu += NoticeFleet.cpuNanos() - before;
+            served += ended.size();
+            running.keySet().removeAll(ended);
+            for (Decision.Start start : starts(decisions)) {
+                running.put(start.work().id(), now);
+                startsAt.computeIfAbsent(start.upstream().id(), id -> new ArrayList<>()).add(now);
+            }
+            assertThat(finishes(decisions)).isEmpty();
+        }
+        System.out.printf(
+                Locale.ROOT,
+                "%d generations wait for a pause: served %d in %.2f s, decisions %.0f ms%n",
+                waiting,
+                served,
+                now / 1e9,
+                cpu / 1e6);
+
+        assertThat(served).isEqualTo(waiting);
+        assertThat(cpu).as("the control thread keeps up").isLessThan(now);
+        startsAt.forEach(
+                (engine, times) -> {
+                    assertThat(times).allMatch(at -> at >= 2 * SECOND);
+                    assertGrowsStepByStep(engine, times, 2 * SECOND);
+                });
+    }
+
     /** A copy that an engine has to receive is work as well. */
     @Test
     void aPausingEngineGetsNoCopies() {
