--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/NoticeFleet.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/NoticeFleet.java
@@ -52,6 +52,7 @@
     private long mNumber;
     private long mNow;
     private long mCpuNanos;
+    long mLastServedAt;
     int mSentAfterNotice;
     int mOffered;
     int mGivenUp;
@@ -139,6 +140,11 @@
         }
     }
 
+    /** Returns the processor time that this thread has used. */
+    static long cpuNanos() {
+        return THREADS.getCurrentThreadCpuTime();
+    }
+
     List<FakeUpstream> upstreams() {
         return mUpstreams.values().stream()
                 .sorted(Comparator.comparing(fake -> fake.mUpstream.id()))
@@ -182,10 +188,10 @@
 
     private void decide(int index, Step step) {
         Instance instance = mInstances.get(index);
-        long start = THREADS.getCurrentThreadCpuTime();
+        long start = cpuNanos();
         step.apply(instance.mScheduler);
         List<Decision> decisions = instance.mScheduler.advance(mNow);
-        mCpuNanos += THREADS.getCurrentThreadCpuTime() - start;
+        mCpuNanos += cpuNanos() - start;
         for (Decision decision : decisions) {
             if (decision instanceof Decision.Start start1) {
                 send(index, start1);
@@ -255,6 +261,7 @@
     private void served(int index, Decision.Start start) {
         Caller caller = mCallers.remove(start.work().id());
         mServed.add(mNow - caller.firstAt());
+        mLastServedAt = mNow;
         end(index, start, AttemptEnd.SUCCEEDED);
     }
 
