Build a new scheduler when a service changes its kind

A service that was dropped and added again with another kind, or changed its kind, kept its scheduler. Plain calls of a former service of engines were taken for stalled streams after 1.5 s, ended and sent again: a repeatable call of 3 s ended with 502. Generations of a former plain service were all sent to their engines at once, beyond the slots.

Cause: schedulers were created by the first configuration that names a service and never compared with later ones. A new scheduler is now built when the kind differs. The former one decides on its requests until they have ended; it learns of changes in the list of upstreams and of the stop. The retry budget of a service is kept.

ConfigurationChangeTest failed before: aServiceOfEnginesThatBecomesAPlainOneServesCalls "expected: 200 but was: 502", aPlainServiceThatBecomesOneOfEnginesKeepsToTheirSlots "Expecting actual: 24 to be less than or equal to: 16". Its other two tests, stricter limits within a request and a change each 50 ms under load, passed before as well.

Changed properties of the engines of a service (slots, memory) still take effect only at a restart.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -89,11 +89,18 @@
     private volatile Set<String> mLimited = Set.of();
     private volatile Set<String> mClosed = Set.of();
     private final Map<String, WorkScheduler> mSchedulers = new HashMap<>();
+
+    /**
+     * Schedulers of services that have changed their kind, until their requests have ended, and the
+     * names of the services.
+     */
+    private final Map<WorkScheduler, String> mRetired = new IdentityHashMap<>();
+
     private final Map<Long, Request> mRequests = new HashMap<>();
     private final Set<WorkScheduler> mPendingConfirmations =
             Collections.newSetFromMap(new IdentityHashMap<>());
     private final ProgressBuffer mProgress = new ProgressBuffer();
-    private final List<FleetRetryBudget> mRetries = new ArrayList<>();
+    private final Map<String, FleetRetryBudget> mRetries = new HashMap<>();
     private final GatewayLog mLog = new GatewayLog();
     private final List<TableWatcher> mWatchers = new ArrayList<>();
     private PeerView mPeers = PeerView.ALONE;
@@ -194,7 +201,8 @@
      * @param settings the new settings
      */
     public void applySettings(GatewaySettings settings) {
-        mControl.execute(() -> mRetries.forEach(retries -> retries.bounds(settings.retries())));
+        mControl.execute(
+                () -> mRetries.values().forEach(retries -> retries.bounds(settings.retries())));
     }
 
     /**
@@ -208,6 +216,7 @@
                 () -> {
                     mStopsAt = stopsAtNanos;
                     mSchedulers.values().forEach(scheduler -> scheduler.stopAt(stopsAtNanos));
+                    mRetired.keySet().forEach(scheduler -> scheduler.stopAt(stopsAtNanos));
                     FleetLink fleet = mFleet;
                     if (fleet != null) {
                         fleet.leave();
@@ -454,6 +463,7 @@
             for (WorkScheduler scheduler : mSchedulers.values()) {
                 executeDecisions(scheduler);
             }
+            advanceRetired();
             endOverdue(mTicker.nanos());
             EvidenceKeeper evidence = mEvidence;
             if (evidence != null) {
@@ -467,11 +477,21 @@
         mControl.schedule(this::tick, pause.toMillis(), TimeUnit.MILLISECONDS);
     }
 
+    /** Advances the schedulers of services that have changed their kind. */
+    private void advanceRetired() {
+        mRetired.keySet().forEach(this::executeDecisions);
+        mRetired.keySet()
+                .removeIf(
+                        scheduler ->
+                                mRequests.values().stream()
+                                        .noneMatch(request -> request.scheduler() == scheduler));
+    }
+
     private void advanceFleet() {
         FleetLink fleet = mFleet;
         if (fleet != null) {
             fleet.advance();
-            mRetries.forEach(retries -> retries.instances(fleet.instances()));
+            mRetries.values().forEach(retries -> retries.instances(fleet.instances()));
         }
     }
 
@@ -606,9 +626,12 @@
         if (!mDirectory.takeChanged()) {
             return;
         }
-        mSchedulers.forEach(
-                (service, scheduler) ->
-                        scheduler.replaceUpstreams(mDirectory.upstreams(service), mTicker.nanos()));
+        mSchedulers.forEach(this::replaceUpstreams);
+        mRetired.forEach((scheduler, service) -> replaceUpstreams(service, scheduler));
+    }
+
+    private void replaceUpstreams(String service, WorkScheduler scheduler) {
+        scheduler.replaceUpstreams(mDirectory.upstreams(service), mTicker.nanos());
     }
 
     private void applyConfiguration(RouteTable table) {
@@ -624,7 +647,14 @@
             return;
         }
         for (ServiceSpec service : table.services()) {
-            mSchedulers.computeIfAbsent(service.name(), name -> createScheduler(service));
+            WorkScheduler known = mSchedulers.get(service.name());
+            boolean hasEngines = service.engine() != null;
+            if (known == null || known instanceof StreamScheduler != hasEngines) {
+                mSchedulers.put(service.name(), createScheduler(service));
+                if (known != null) {
+                    mRetired.put(known, service.name());
+                }
+            }
         }
         mTable = table;
         mLog.configurationInForce(
@@ -648,8 +678,9 @@
     }
 
     private WorkScheduler createScheduler(ServiceSpec service) {
-        FleetRetryBudget retries = new FleetRetryBudget(mSettings.retries());
-        mRetries.add(retries);
+        FleetRetryBudget retries =
+                mRetries.computeIfAbsent(
+                        service.name(), name -> new FleetRetryBudget(mSettings.retries()));
         Random random = new Random();
         WorkScheduler scheduler =
                 service.engine() == null
@@ -662,7 +693,7 @@
                                 retries,
                                 mLimits,
                                 random);
-        scheduler.replaceUpstreams(mDirectory.upstreams(service.name()), mTicker.nanos());
+        replaceUpstreams(service.name(), scheduler);
         if (scheduler instanceof PeerLoadAware aware) {
             aware.updatePeers(mPeers);
         }
--- /dev/null
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/ConfigurationChangeTest.java
@@ -0,0 +1,221 @@
+package org.gentianwalk.gateway.sockets;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.gentianwalk.core.route.CallerLimits;
+import org.gentianwalk.core.route.RequestKind;
+import org.gentianwalk.core.route.Route;
+import org.gentianwalk.core.route.ServiceSpec;
+import org.gentianwalk.core.route.Team;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests without an answer beside a change of the configuration. */
+class ConfigurationChangeTest {
+    private static final Duration TIMEOUT = Duration.ofSeconds(6);
+    private static final CallerLimits SHORT_LIMITS =
+            new CallerLimits(16_384, 8, Duration.ofMillis(300), Duration.ofMillis(300));
+
+    private final AtomicInteger mExecutions = new AtomicInteger();
+    private final AtomicInteger mRunning = new AtomicInteger();
+    private final AtomicInteger mMostRunning = new AtomicInteger();
+    private volatile long mTakesMillis = 5;
+    private GatewayFleet mFleet;
+    private ScriptedUpstream mUpstream;
+    private GatewayFleet.Instance mInstance;
+
+    @BeforeEach
+    void start() throws Exception {
+        mFleet = new GatewayFleet();
+        mUpstream =
+                new ScriptedUpstream(
+                        "x1",
+                        (request, connection) -> {
+                            mExecutions.incrementAndGet();
+                            mMostRunning.accumulateAndGet(mRunning.incrementAndGet(), Math::max);
+                            try {
+                                Thread.sleep(mTakesMillis);
+                            } finally {
+                                mRunning.decrementAndGet();
+                            }
+                            if (!request.target().startsWith("/stream/")) {
+                                connection.write(ScriptedUpstream.success(request, "ok"));
+                                return;
+                            }
+                            connection.write(ScriptedUpstream.streamHead(request));
+                            connection.write("id: 1\ndata: x\n\n");
+                            connection.socket().close();
+                        });
+        mFleet.list(mUpstream.entry("x", "a"));
+        mInstance = mFleet.start("i1", "a", Duration.ofSeconds(8));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mFleet.close();
+        mUpstream.close();
+    }
+
+    private void configure(ServiceSpec service, CallerLimits limits, Map<String, Team> teams) {
+        mFleet.configure(routes(), List.of(service), limits, teams);
+    }
+
+    private static List<Route> routes() {
+        List<Route> routes = new ArrayList<>();
+        routes.add(GatewayFleet.route("safe", RequestKind.IDEMPOTENT_CALL, TIMEOUT, "x"));
+        routes.add(GatewayFleet.route("unsafe", RequestKind.SINGLE_CALL, TIMEOUT, "x"));
+        routes.add(GatewayFleet.route("stream", RequestKind.RESUMABLE_STREAM, TIMEOUT, "x"));
+        return routes;
+    }
+
+    private void awaitStatus(String target, int status) throws Exception {
+        GatewayFleet.await(
+                target + " has status " + status,
+                Duration.ofSeconds(5),
+                () -> {
+                    try (RawCaller caller = mInstance.caller()) {
+                        return caller.call(target, "probe").status() == status;
+                    } catch (java.io.IOException e) {
+                        return false;
+                    }
+                });
+    }
+
+    /** As a service of engines, it would take a long call for a stalled stream and repeat it. */
+    @Test
+    void aServiceOfEnginesThatBecomesAPlainOneServesCalls() throws Exception {
+        configure(GatewayFleet.engineService("x"), GatewayFleet.LIMITS, null);
+        awaitStatus("/stream/a", 200);
+        configure(GatewayFleet.plainService("x"), GatewayFleet.LIMITS, null);
+        mTakesMillis = 3_000;
+        mExecutions.set(0);
+        Thread.sleep(500);
+        try (RawCaller caller = mInstance.caller()) {
+            RawCaller.Response response = caller.call("/safe/a", "slow");
+
+            assertThat(response.status()).isEqualTo(200);
+            assertThat(mExecutions).hasValue(1);
+        }
+    }
+
+    /** As a plain service, it would send all generations to the engine at once. */
+    @Test
+    void aPlainServiceThatBecomesOneOfEnginesKeepsToTheirSlots() throws Exception {
+        configure(GatewayFleet.plainService("x"), GatewayFleet.LIMITS, null);
+        awaitStatus("/safe/a", 200);
+        configure(GatewayFleet.engineService("x"), GatewayFleet.LIMITS, null);
+        Thread.sleep(500);
+        mTakesMillis = 200;
+        mMostRunning.set(0);
+        List<Future<RawCaller.Response>> responses = new ArrayList<>();
+        try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+            for (int i = 0; i < GatewayFleet.SLOTS + 8; i++) {
+                String id = "stream-" + i;
+                responses.add(
+                        threads.submit(
+                                () -> {
+                                    try (RawCaller caller = mInstance.caller()) {
+                                        return caller.call("/stream/a", id);
+                                    }
+                                }));
+            }
+            for (Future<RawCaller.Response> response : responses) {
+                assertThat(response.get().status()).isEqualTo(200);
+            }
+        }
+        assertThat(mMostRunning.get()).isLessThanOrEqualTo(GatewayFleet.SLOTS);
+    }
+
+    /** Limits that become stricter end a request that is being read with an answer. */
+    @Test
+    void aHalfReadRequestIsAnsweredWhenTheLimitsOfCallersChange() throws Exception {
+        configure(GatewayFleet.plainService("x"), GatewayFleet.LIMITS, null);
+        awaitStatus("/safe/a", 200);
+        try (RawCaller head = mInstance.caller();
+                RawCaller body = mInstance.caller()) {
+            head.write("POST /unsafe/a HTTP/1.1\r\nHost: host\r\nx-id: head");
+            body.write("POST /unsafe/a HTTP/1.1\r\nHost: host\r\nx-id: body\r\n");
+            body.write("Content-Length: 20\r\n\r\nabcde");
+            configure(GatewayFleet.plainService("x"), SHORT_LIMITS, null);
+            Thread.sleep(500);
+            body.write("fghijklmno");
+
+            assertThat(body.read().status()).isEqualTo(413);
+            assertThat(head.read().status()).isEqualTo(408);
+        }
+    }
+
+    /** The route, the service, the keys and the limits change all the time. */
+    @Test
+    void everyRequestIsAnsweredWhileTheConfigurationChangesAllTheTime() throws Exception {
+        configure(GatewayFleet.plainService("x"), GatewayFleet.LIMITS, null);
+        awaitStatus("/safe/a", 200);
+        AtomicBoolean changing = new AtomicBoolean(true);
+        Map<String, Team> teams = Map.of("key", new Team("team", OptionalInt.of(1)));
+        List<Future<Integer>> callers = new ArrayList<>();
+        try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+            for (int i = 0; i < 12; i++) {
+                String name = "caller-" + i + "-";
+                String target = List.of("/safe/a", "/unsafe/a", "/stream/a").get(i % 3);
+                callers.add(threads.submit(() -> callWhile(changing, target, name)));
+            }
+            for (int change = 0;
+                    change < 60 && callers.stream().noneMatch(Future::isDone);
+                    change++) {
+                CallerLimits limits = change % 5 == 0 ? SHORT_LIMITS : GatewayFleet.LIMITS;
+                List<ServiceSpec> services =
+                        change % 7 == 0
+                                ? List.of()
+                                : List.of(
+                                        change % 2 == 0
+                                                ? GatewayFleet.plainService("x")
+                                                : GatewayFleet.engineService("x"));
+                List<Route> routes = routes();
+                if (change % 4 < routes.size()) {
+                    routes.remove(change % 4);
+                } else {
+                    routes.clear();
+                }
+                mFleet.configure(routes, services, limits, change % 3 == 0 ? teams : null);
+                mInstance.store().silent(change % 11 == 5);
+                Thread.sleep(50);
+            }
+            changing.set(false);
+            int answered = 0;
+            for (Future<Integer> caller : callers) {
+                answered += caller.get();
+            }
+            assertThat(answered).isGreaterThan(200);
+        }
+    }
+
+    /** Returns the number of answered requests; fails when one that was read has no answer. */
+    private int callWhile(AtomicBoolean changing, String target, String name) throws Exception {
+        int answered = 0;
+        for (int i = 0; changing.get(); ) {
+            try (RawCaller caller = mInstance.caller()) {
+                boolean open = true;
+                while (open && changing.get()) {
+                    RawCaller.Response response = caller.call(target, name + i++);
+                    assertThat(response).as("an answer to %s%s", name, i).isNotNull();
+                    assertThat(response.complete()).as("%s%s", name, i).isTrue();
+                    assertThat(response.status()).isIn(200, 404, 413, 502, 503);
+                    answered++;
+                    open = !"close".equals(response.headers().get("connection"));
+                }
+            }
+        }
+        return answered;
+    }
+}
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/GatewayFleet.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/GatewayFleet.java
@@ -19,6 +19,7 @@
 import org.gentianwalk.core.route.Route;
 import org.gentianwalk.core.route.RouteTable;
 import org.gentianwalk.core.route.ServiceSpec;
+import org.gentianwalk.core.route.Team;
 import org.gentianwalk.gateway.Gateway;
 import org.gentianwalk.gateway.GatewaySettings;
 import org.gentianwalk.gateway.MemoryStore;
@@ -34,6 +35,12 @@
     static final String DESK = "desk";
     static final String WRITER = "writer";
 
+    /** Generations that an engine runs at once. */
+    static final int SLOTS = 16;
+
+    static final CallerLimits LIMITS =
+            new CallerLimits(16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15));
+
     private static final int MAX_STARTS = 10;
 
     private static final List<MeshKey> KEYS =
@@ -73,24 +80,23 @@
 
     /** Puts a configuration in force whose routes have a time limit. */
     void configure(Duration timeout) {
-        RouteTable table =
-                new RouteTable(
-                        ++mConfigVersion,
-                        List.of(
-                                route("safe", RequestKind.IDEMPOTENT_CALL, timeout, DESK),
-                                route("unsafe", RequestKind.SINGLE_CALL, timeout, DESK),
-                                route("stream", RequestKind.RESUMABLE_STREAM, timeout, WRITER)),
-                        List.of(
-                                new ServiceSpec(DESK, "/alive", 100, null),
-                                new ServiceSpec(
-                                        WRITER,
-                                        "/alive",
-                                        100,
-                                        new EngineSpec(
-                                                16, 88_000, 6, false, Duration.ofSeconds(4)))),
-                        new CallerLimits(
-                                16_384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15)),
-                        null);
+        configure(
+                List.of(
+                        route("safe", RequestKind.IDEMPOTENT_CALL, timeout, DESK),
+                        route("unsafe", RequestKind.SINGLE_CALL, timeout, DESK),
+                        route("stream", RequestKind.RESUMABLE_STREAM, timeout, WRITER)),
+                List.of(plainService(DESK), engineService(WRITER)),
+                LIMITS,
+                null);
+    }
+
+    /** Puts a configuration in force; requests need no key when there are no teams. */
+    void configure(
+            List<Route> routes,
+            List<ServiceSpec> services,
+            CallerLimits limits,
+            Map<String, Team> teamsByKey) {
+        RouteTable table = new RouteTable(++mConfigVersion, routes, services, limits, teamsByKey);
         mStore.put(PlainRows.CONFIG, PlainRows.CONFIG, mRows.encode(table));
     }
 
@@ -188,7 +194,19 @@
         mInstances.forEach(instance -> instance.gateway().close());
     }
 
-    private static Route route(String name, RequestKind kind, Duration timeout, String service) {
+    static ServiceSpec plainService(String name) {
+        return new ServiceSpec(name, "/alive", 100, null);
+    }
+
+    static ServiceSpec engineService(String name) {
+        return new ServiceSpec(
+                name,
+                "/alive",
+                100,
+                new EngineSpec(SLOTS, 88_000, 6, false, Duration.ofSeconds(4)));
+    }
+
+    static Route route(String name, RequestKind kind, Duration timeout, String service) {
         return new Route(
                 name,
                 "host",
