--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallSchedulerTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallSchedulerTest.java
@@ -246,8 +246,7 @@
                 .isEqualTo(mNear);
 
         long late = 9_500 * MS;
-        Upstream next =
-                offer(Samples.call(102, RequestKind.SINGLE_CALL, 1, late), late).upstream();
+        Upstream next = offer(Samples.call(102, RequestKind.SINGLE_CALL, 1, late), late).upstream();
 
         assertThat(next).isEqualTo(mNextZone);
     }
