--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -158,7 +158,8 @@
                         answered
                                 ? Decision.Ending.UPSTREAM_ERROR
                                 : mAttempt != null || mMayHaveRun
-                                        ? Decision.Ending.UNKNOWN : Decision.Ending.REFUSED,
+                                        ? Decision.Ending.UNKNOWN
+                                        : Decision.Ending.REFUSED,
                         WorkScheduler.STOPPING_RETRY,
                         "the instance is stopping"));
     }
