Answer a request whose handling fails

A failure while a whole request was handed on closed its connection without an answer, and the requests pipelined behind it were dropped. Such a request now gets 500, and the connection goes on.

EdgeConnectionTest.aRequestThatCannotBeHandledIsAnswered failed before: 'Expecting actual: "" to start with: "HTTP/1.1 500 "'.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
@@ -257,7 +257,18 @@
                         mHeadAt);
         ResponseWriter writer = new ResponseWriter(context, HttpUtil.isKeepAlive(head));
         mResponse = writer;
-        RequestHandler.CallerListener listener = mHandler.handle(request, writer);
+        RequestHandler.CallerListener listener;
+        try {
+            listener = mHandler.handle(request, writer);
+        } catch (RuntimeException e) {
+            // Without a response the caller could not know whether the request was executed.
+            LOG.errorf(e, "a request can't be handled");
+            writer.respond(
+                    HttpResponseStatus.INTERNAL_SERVER_ERROR.code(),
+                    "the request can't be handled",
+                    null);
+            return;
+        }
         if (mResponse == writer) {
             mCallerListener = listener;
         }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
@@ -38,6 +38,9 @@
     void connect() {
         RequestHandler handler =
                 (request, channel) -> {
+                    if (request.target().equals("/fails")) {
+                        throw new IllegalStateException("the request can't be handled");
+                    }
                     mRequests.add(request);
                     mChannels.add(channel);
                     return new RequestHandler.CallerListener() {
@@ -207,6 +210,15 @@
         assertThat(written()).contains("content-length: 1").endsWith("\r\n\r\n");
     }
 
+    /** The connection would otherwise be closed without an answer. */
+    @Test
+    void aRequestThatCannotBeHandledIsAnswered() {
+        send("GET /fails HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+
+        assertThat(written()).startsWith("HTTP/1.1 500 ");
+        assertThat(mRequests).extracting(CallerRequest::target).containsExactly("/b");
+    }
+
     @Test
     void retryAfterIsGivenInFractionsOfASecond() {
         send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
