--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/EdgeConnectionTest.java
@@ -46,6 +46,9 @@
     void connect() {
         RequestHandler handler =
                 (request, channel) -> {
+                    if (request.target().equals("/fails")) {
+                        throw new IllegalStateException("the request can't be handled");
+                    }
                     mRequests.add(request);
                     mChannels.add(channel);
                     if (mRespondsAtOnce) {
@@ -250,6 +253,15 @@
         assertThat(written()).contains("400").endsWith("the request is not valid HTTP/1.1\n");
     }
 
+    /** The connection would otherwise be closed without an answer. */
+    @Test
+    void aRequestThatCannotBeHandledIsAnswered() {
+        send("GET /fails HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+
+        assertThat(written()).startsWith("HTTP/1.1 500 ");
+        assertThat(mRequests).extracting(CallerRequest::target).containsExactly("/b");
+    }
+
     @Test
     void retryAfterIsGivenInFractionsOfASecond() {
         send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
