Close the listener before the traffic loop ends

Cause: a connection that is accepted while the traffic loop shuts down can be registered after all others were closed, and stays open. A process closes it by its exit; a closed instance within another process leaves its caller waiting.

Change: the instance waits for the end of its listener first.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
@@ -153,6 +153,7 @@
     @Override
     public void close() {
         mStopping = true;
+        // A connection accepted while the loop shuts down would be registered and never closed.
         mEdge.stopListening();
         mControl.shutdownNow();
         mTraffic.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2_000);
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeServer.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeServer.java
@@ -101,11 +101,14 @@
         return mConnections.size();
     }
 
-    /** Stops listening; open connections are kept. */
+    /**
+     * Stops listening and waits until the listener is closed; open connections are kept. Must not
+     * be called on the traffic loop.
+     */
     public void stopListening() {
         Channel listener = mListener;
         if (listener != null) {
-            listener.close();
+            listener.close().awaitUninterruptibly();
         }
     }
 
