--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
@@ -150,7 +150,8 @@
 
     /**
      * Returns the engine from which others may fetch the cached prompt of a run, or null. One that
-     * pauses wants no work, and one that leaves may end meanwhile, which would block the fetch.
+     * pauses accepts no requests, and one that leaves may end meanwhile, which would block the
+     * fetch.
      */
     @Nullable EngineState cacheHolder(StreamRun run, long nowNanos) {
         EngineState holder = mEngineView.cacheHolder(run.part(), nowNanos);
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/SettledLoss.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/SettledLoss.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 
 /**
- * What became of the loss of an upstream under a request.
+ * The loss of an upstream under a request, once it is known whether it counts.
  *
  * @param process identifier of the upstream's process
  * @param requestId identifier of the request
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamPauses.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/UpstreamPauses.java
@@ -71,7 +71,8 @@
      * @param until end of the pause
      * @param next number of requests that this instance may have sent since the end of the pause
      *     when it may send the next one
-     * @param place the same for the next caller that is told to come back
+     * @param place number of requests that it may have sent when the next refused caller should
+     *     come back
      */
     private record Pause(long until, double next, double place) {
         boolean isOver(long nowNanos) {
@@ -168,8 +169,8 @@
     }
 
     /**
-     * Returns the time after which the next caller that is refused should come back: as many
-     * callers come back as requests may start by then.
+     * Returns the time after which the next caller that is refused should come back. Callers come
+     * back at the rate at which requests may start, one for each place.
      */
     long retryNanos(Upstream upstream, long nowNanos) {
         Pause pause = mPauses.get(upstream.process());
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
@@ -342,7 +342,7 @@
                                 codings.getFirst().trim());
     }
 
-    /** Returns whether the response itself tells its end, so that the connection need not. */
+    /** Returns whether the end of the response follows from its head or its chunks. */
     private boolean isFramed(HttpResponse response) {
         return isHeadRequest()
                 || response.status().equals(HttpResponseStatus.NO_CONTENT)
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -525,8 +525,7 @@
                 return;
             }
             if (mLastNumber > 0 && mLastNumber < mLastEvent) {
-                // The upstream has begun anew instead of continuing, and its stream is a shorter
-                // one.
+                // The upstream did not continue the stream but restarted it, and ended earlier.
                 endAttempt(
                         this,
                         AttemptEnd.LOST,
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/UnansweredRequestTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/UnansweredRequestTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Guards against requests that are read whole and end with their connection. */
+/** Guards against whole requests whose connection ends without an answer. */
 class UnansweredRequestTest {
     private static final Duration GRACE = Duration.ofSeconds(4);
 
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -87,7 +87,7 @@
         assertThat(mControl.mLog).containsExactly("ended 1 REJECTED");
     }
 
-    /** A caller that is told that its request may have run can't send it again. */
+    /** A response that leaves open whether the request ran keeps its caller from a retry. */
     @Test
     void aRejectedRequestIsNotReportedAsRunWhenTheInstanceEnds() {
         Exchange exchange = exchange(RequestKind.SINGLE_CALL, 0);
@@ -481,7 +481,7 @@
         assertThat(mCaller.mLog).containsExactly("begin 200", "part id: 1\n\n");
     }
 
-    /** An engine that starts anew and ends early has another, shorter stream. */
+    /** An engine that restarts a stream may end it earlier than the first one would have. */
     @Test
     void aStreamIsNotEndedByAnAttemptThatEndsBeforeItsLastEvent() {
         Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 0);
