Let repeatable calls wait for an upstream within their limit

Cause: CallScheduler repeated a call only if the target with the least cost was untried at that moment. A rejection counted as a try, and a call with two upstreams ended as soon as each was reached once, or while the others were draining, pausing, unlisted or backing off.

Change: a call that may have been executed waits until an upstream can take it: one that it has not reached if possible, otherwise one that it reached at least 150 ms before (doubling with each attempt) and that is not backing off. Its deadline, a stop, a verdict on its content, max_attempts, four rejections or the retry budget end it. A waiting call times out with 504; it was refused there as not run, which a call that was executed before must not be. The state of a call and the choice of its upstream move to CallRun and CallTargets.

CallSchedulerTest.aCallThatMayHaveRunIsNotRefused required the end at once that is the fault. CallRepetitionTest.aCallThatMayHaveRunIsNotRefusedAtItsDeadline replaces it: the call is not refused, neither before nor at its deadline.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
@@ -1,6 +1,8 @@
 package org.gentianwalk.core.dispatch;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.gentianwalk.core.model.Location.Distance;
 import org.jspecify.annotations.Nullable;
 
@@ -28,7 +30,10 @@
 
     private Upstream mUpstream;
     private final Reachability mReachability = new Reachability();
-    private int mRunning;
+
+    /** Start times of the calls in progress, in this order. */
+    private final List<Long> mStarts = new ArrayList<>();
+
     private int mPeerRequests;
     private long mReportedAt;
     private boolean mReplaced;
@@ -56,6 +61,11 @@
         return !mReplaced && !mUpstream.draining();
     }
 
+    /** Returns whether the process is avoided for a time after a failure. */
+    boolean isBackingOff(long nowNanos) {
+        return mReachability.isBackingOff(nowNanos);
+    }
+
     /** Records that the process has ended, although it may still be listed. */
     void markReplaced() {
         mReplaced = true;
@@ -89,12 +99,18 @@
         return false;
     }
 
-    void recordStart() {
-        mRunning++;
+    void recordStart(long nowNanos) {
+        mStarts.add(nowNanos);
+    }
+
+    /** Removes a call that was started at a time. */
+    void release(long startedNanos) {
+        mStarts.remove((Long) startedNanos);
     }
 
-    void release() {
-        mRunning--;
+    /** Returns the start of the oldest call in progress, or the current time if there is none. */
+    long oldestStart(long nowNanos) {
+        return mStarts.isEmpty() ? nowNanos : mStarts.getFirst();
     }
 
     /** Records the end of a call, which {@link #release} has been called for. */
@@ -133,14 +149,14 @@
     }
 
     void recordLoad(UpstreamLoad load, long nowNanos) {
-        mPeerRequests = Math.max(0, load.running() + load.waiting() - mRunning);
+        mPeerRequests = Math.max(0, load.running() + load.waiting() - mStarts.size());
         mReportedAt = nowNanos;
     }
 
     /** Returns the expected wait of a call on top of its own duration, milliseconds. */
     double cost(double callMillis, Distance distance, long nowNanos) {
         int slots = mUpstream.slots();
-        double load = mRunning + peerRequests(nowNanos);
+        double load = mStarts.size() + peerRequests(nowNanos);
         double wait = Math.max(0, load + 1 - slots) / slots * callMillis;
         double cost = wait + SPREAD_FRACTION * callMillis * load / slots;
         cost += roundTripMillis(distance);
--- /dev/null
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTargets.java
@@ -0,0 +1,164 @@
+package org.gentianwalk.core.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+import org.gentianwalk.core.model.Location.Distance;
+import org.jspecify.annotations.Nullable;
+
+/** The upstreams of a plain service, and which one of them a call is sent to. */
+final class CallTargets {
+    /** Retry-after when all upstreams tried were full. */
+    static final Duration FULL_RETRY = Duration.ofMillis(150);
+
+    private static final double TIE_MILLIS = 0.5;
+
+    private final LocationMap mLocations;
+    private final UpstreamLimits mLimits;
+    private final RandomGenerator mRandom;
+    private final Map<String, CallTarget> mTargets = new LinkedHashMap<>();
+    private final CallDuration mDuration = new CallDuration();
+    private @Nullable Long mStopsAt;
+
+    CallTargets(LocationMap locations, UpstreamLimits limits, RandomGenerator random) {
+        mLocations = locations;
+        mLimits = limits;
+        mRandom = random;
+    }
+
+    /** Replaces the listed upstreams; what is known of processes that remain listed is kept. */
+    void replace(Collection<Upstream> upstreams) {
+        Map<String, CallTarget> before = new HashMap<>(mTargets);
+        Map<String, Long> newest = new HashMap<>();
+        upstreams.forEach(
+                upstream -> newest.merge(upstream.address(), upstream.incarnation(), Math::max));
+        mTargets.clear();
+        for (Upstream upstream : upstreams) {
+            CallTarget known = before.get(upstream.id());
+            if (known != null && known.upstream().isSameProcess(upstream)) {
+                known.upstream(upstream);
+                known.recordSuccessor(
+                        newest.getOrDefault(upstream.address(), upstream.incarnation()));
+                before.remove(upstream.id());
+                mTargets.put(upstream.id(), known);
+            } else {
+                mTargets.put(upstream.id(), new CallTarget(upstream));
+            }
+        }
+        before.values().forEach(CallTarget::markReplaced);
+    }
+
+    /** Sets the time at which the instance stops. */
+    void stopAt(long nanos) {
+        mStopsAt = nanos;
+    }
+
+    /** Records the duration of a call that was answered. */
+    void recordDuration(long nanos) {
+        mDuration.record(nanos);
+    }
+
+    /** Returns whether a call that is sent now will have its answer before the instance stops. */
+    boolean canFinish(CallRun call, long nowNanos) {
+        return canFinish(call, mDuration.boundNanos(), nowNanos);
+    }
+
+    private boolean canFinish(CallRun call, long boundNanos, long nowNanos) {
+        if (mStopsAt == null) {
+            return true;
+        }
+        long longest = Math.min(boundNanos, call.work().deadlineNanos() - nowNanos);
+        return mStopsAt - nowNanos >= longest;
+    }
+
+    /**
+     * Returns whether a call that is sent to an upstream now will have its answer before the
+     * instance stops. A call in progress there that exceeds the usual bound shows that the upstream
+     * has become slow, before any answer does; on average, half of such a call's duration has
+     * passed.
+     */
+    boolean canFinishAt(CallTarget target, CallRun call, long nowNanos) {
+        long bound = mDuration.boundNanos();
+        long oldest = nowNanos - target.oldestStart(nowNanos);
+        return canFinish(call, oldest > bound ? 2 * oldest : bound, nowNanos);
+    }
+
+    /** Returns the upstream for a call that has not run, or null when none is usable. */
+    @Nullable CallTarget choose(CallRun call, long nowNanos) {
+        return choose(call, target -> true, nowNanos);
+    }
+
+    /**
+     * Returns the upstream for a call that may have been executed, or null while there is none: one
+     * that it has not reached if possible, or one that may have recovered since.
+     */
+    @Nullable CallTarget chooseForRepeat(CallRun call, long nowNanos) {
+        return choose(
+                call,
+                target -> call.mayReach(target, nowNanos) && !target.isBackingOff(nowNanos),
+                nowNanos);
+    }
+
+    private @Nullable CallTarget choose(
+            CallRun call, Predicate<CallTarget> isEligible, long nowNanos) {
+        CallTarget best = null;
+        double bestCost = 0;
+        for (CallTarget target : mTargets.values()) {
+            if (!target.isUsable()
+                    || !isEligible.test(target)
+                    || !mLimits.isPermitted(target.upstream(), nowNanos)) {
+                continue;
+            }
+            double cost = cost(target, call, nowNanos);
+            if (best == null || cost < bestCost) {
+                best = target;
+                bestCost = cost;
+            }
+        }
+        return best;
+    }
+
+    /** Returns the cost of a target, milliseconds; ties are broken at random. */
+    private double cost(CallTarget target, CallRun call, long nowNanos) {
+        Distance distance = mLocations.distance(target.upstream().zone());
+        double cost = target.cost(mDuration.meanMillis(), distance, nowNanos);
+        cost += TIE_MILLIS * mRandom.nextDouble();
+        if (call.hasReached(target)) {
+            cost += CallTarget.LAST_RESORT_COST_MILLIS;
+        }
+        if (!canFinishAt(target, call, nowNanos)) {
+            cost += CallTarget.LAST_RESORT_COST_MILLIS;
+        }
+        return cost;
+    }
+
+    /**
+     * Returns the time after which a refused call should come back, or null when no upstream is
+     * usable. Other instances may still have a part of the limits, so a retry need not wait for
+     * this one's.
+     */
+    @Nullable Duration reserveRetry(long nowNanos) {
+        List<Upstream> upstreams = new ArrayList<>();
+        for (CallTarget target : mTargets.values()) {
+            Upstream upstream = target.upstream();
+            if (!target.isUsable() || mLimits.isLeaving(upstream)) {
+                continue;
+            }
+            if (mLimits.waitNanos(upstream, nowNanos).isEmpty()) {
+                return FULL_RETRY;
+            }
+            upstreams.add(upstream);
+        }
+        OptionalLong wait = mLimits.reserveRetry(upstreams, nowNanos);
+        return wait.isEmpty()
+                ? null
+                : Duration.ofNanos(Math.max(wait.getAsLong(), FULL_RETRY.toNanos()));
+    }
+}
--- /dev/null
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallRepetitionTest.java
@@ -0,0 +1,192 @@
+package org.gentianwalk.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.gentianwalk.core.dispatch.Samples.MS;
+import static org.gentianwalk.core.dispatch.Samples.SECOND;
+import static org.gentianwalk.core.dispatch.Samples.finishes;
+import static org.gentianwalk.core.dispatch.Samples.starts;
+import static org.gentianwalk.core.dispatch.Samples.upstream;
+
+import java.time.Duration;
+import java.util.List;
+import org.gentianwalk.core.dispatch.Decision.Ending;
+import org.gentianwalk.core.model.Fingerprint;
+import org.gentianwalk.core.route.RequestKind;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Guards against repeatable calls that are given up because of the state of one moment, while most
+ * of their time limit is left. The limit of all calls is 1,200 ms.
+ */
+class CallRepetitionTest {
+    private static final Fingerprint CONTENT = new Fingerprint(7, 1);
+    private static final int MAX_ATTEMPTS = 4;
+
+    private final Upstream mNear = upstream("near", "a");
+    private final Upstream mNext = upstream("next", "b");
+    private CallScheduler mScheduler = Samples.callScheduler(Samples.limits());
+    private long mNow;
+
+    /** The upstream has two slots, both in use for a moment, and another one restarts. */
+    @Test
+    void aCallThatWasRejectedOnceAndLostOnceIsRepeated() {
+        offer(mNear, mNext);
+        endAndRepeat(1, AttemptEnd.REJECTED);
+        end(2, AttemptEnd.RESET);
+
+        assertThat(nextStart().upstream()).isEqualTo(mNear);
+    }
+
+    /** The only upstream resets its connections, and responds to others all the while. */
+    @ParameterizedTest
+    @EnumSource(names = {"RESET", "LOST"})
+    void aCallIsRepeatedAtItsOnlyUpstream(AttemptEnd end) {
+        offer(mNear);
+        end(1, end);
+
+        assertThat(nextStart().upstream()).isEqualTo(mNear);
+        assertThat(mNow).as("after the backoff").isBetween(150 * MS, 250 * MS);
+    }
+
+    /** The list of upstreams is empty, or all of them drain, while the call needs another one. */
+    @Test
+    void aCallIsRepeatedOnceAnUpstreamIsListedAgain() {
+        for (List<Upstream> meanwhile : List.of(List.<Upstream>of(), drained())) {
+            mScheduler = Samples.callScheduler(Samples.limits());
+            mNow = 0;
+            offer(mNear, mNext);
+            mScheduler.replaceUpstreams(meanwhile, mNow);
+            end(1, AttemptEnd.RESET);
+            advance(300 * MS);
+            mScheduler.replaceUpstreams(List.of(mNear, mNext), mNow);
+
+            assertThat(nextStart()).isNotNull();
+        }
+    }
+
+    /** The only other upstream asks for a pause of half a second. */
+    @Test
+    void aCallIsRepeatedAfterThePauseOfItsLastUpstream() {
+        UpstreamLimits limits = Samples.limits();
+        mScheduler = Samples.callScheduler(limits);
+        offer(mNear, mNext);
+        limits.recordPause(mNext, Duration.ofMillis(500), mNow);
+        end(1, AttemptEnd.RESET);
+        mScheduler.replaceUpstreams(List.of(mNext), mNow);
+
+        assertThat(nextStart().upstream()).isEqualTo(mNext);
+        assertThat(mNow).isGreaterThanOrEqualTo(500 * MS);
+    }
+
+    /** Two processes ended under the call; a third one is not put at risk. */
+    @Test
+    void aCallWithTwoUnsettledLossesIsNotRepeated() {
+        offer(mNear, mNext, upstream("third", "b"));
+        endAndRepeat(1, AttemptEnd.RESET);
+        end(2, AttemptEnd.CRASHED);
+        List<Decision> decisions = advance(SECOND);
+
+        assertThat(starts(decisions)).isEmpty();
+        assertThat(finishes(decisions).getFirst().ending()).isEqualTo(Ending.UNKNOWN);
+    }
+
+    /** A refusal states that the call has not run. */
+    @Test
+    void aCallThatMayHaveRunIsNotRefusedAtItsDeadline() {
+        offer(mNear);
+        mScheduler.replaceUpstreams(List.of(), mNow);
+        end(1, AttemptEnd.LOST);
+
+        assertThat(finishes(advance(1_190 * MS))).isEmpty();
+        assertThat(finishes(advance(20 * MS)).getFirst().ending()).isEqualTo(Ending.TIMED_OUT);
+    }
+
+    /** A stopping instance answers before it ends. */
+    @Test
+    void aCallThatWaitsIsAnsweredWhenTheInstanceStops() {
+        offer(mNear);
+        mScheduler.replaceUpstreams(List.of(), mNow);
+        end(1, AttemptEnd.LOST);
+        mScheduler.stopAt(mNow + 400 * MS);
+
+        assertThat(finishes(advance(400 * MS)).getFirst().ending()).isEqualTo(Ending.UNKNOWN);
+    }
+
+    /** Upstreams that reject or lose all calls are not overrun by the repetitions. */
+    @Test
+    void repetitionsAreBounded() {
+        offer(mNear, mNext);
+        int attempts = 1;
+        for (boolean open = true; open; ) {
+            mScheduler.recordAttemptEnd(
+                    1, attempts, attempts == 1 ? AttemptEnd.LOST : AttemptEnd.REJECTED, mNow);
+            List<Decision> decisions = mScheduler.advance(mNow);
+            while (decisions.isEmpty()) {
+                decisions = advance(10 * MS);
+            }
+            open = finishes(decisions).isEmpty();
+            attempts += open ? 1 : 0;
+        }
+
+        assertThat(attempts).isEqualTo(5);
+    }
+
+    /** The repetitions of all calls together keep to the budget of the service. */
+    @Test
+    void aCallEndsWhenTheRetryBudgetIsExhausted() {
+        FleetRetryBudget none =
+                new FleetRetryBudget(new RetryBounds(0.1, 0, Duration.ofSeconds(10)));
+        mScheduler =
+                new CallScheduler(
+                        "service", Samples.LOCATIONS, none, Samples.limits(), Samples.random());
+        offer(mNear, mNext);
+        end(1, AttemptEnd.RESET);
+
+        assertThat(finishes(mScheduler.advance(mNow)).getFirst().ending())
+                .isEqualTo(Ending.UNKNOWN);
+    }
+
+    private List<Upstream> drained() {
+        return List.of(Samples.draining(mNear), Samples.draining(mNext));
+    }
+
+    private void offer(Upstream... upstreams) {
+        mScheduler.replaceUpstreams(List.of(upstreams), mNow);
+        Work work = Samples.call(1, RequestKind.IDEMPOTENT_CALL, MAX_ATTEMPTS, CONTENT, mNow);
+        mScheduler.offer(work, mNow);
+        assertThat(starts(mScheduler.advance(mNow))).hasSize(1);
+    }
+
+    private void end(int attempt, AttemptEnd end) {
+        mNow += 5 * MS;
+        mScheduler.recordAttemptEnd(1, attempt, end, mNow);
+    }
+
+    private void endAndRepeat(int attempt, AttemptEnd end) {
+        end(attempt, end);
+        assertThat(starts(mScheduler.advance(mNow))).hasSize(1);
+    }
+
+    /** Lets time pass; returns the decisions until the first one, or none. */
+    private List<Decision> advance(long nanos) {
+        long until = mNow + nanos;
+        while (mNow < until) {
+            mNow += 10 * MS;
+            List<Decision> decisions = mScheduler.advance(mNow);
+            if (!decisions.isEmpty()) {
+                return decisions;
+            }
+        }
+        return List.of();
+    }
+
+    /** Returns the next start, which must come before the limit of the call. */
+    private Decision.Start nextStart() {
+        List<Decision> decisions = mScheduler.advance(mNow);
+        List<Decision> later = decisions.isEmpty() ? advance(1_100 * MS) : decisions;
+        assertThat(finishes(later)).isEmpty();
+        return starts(later).getFirst();
+    }
+}
