Let a call wait until the losses of its upstreams are settled

Cause: two resets counted as two lost upstreams at once, from which on a call is not repeated. A reset alone does not show that a process has ended, and LossEvidence settles that shortly after; the call did not wait for it.

Change: LossEvidence.recordLoss returns what becomes known about a loss. A call with two possible losses waits for at most 750 ms, and is repeated once one of them is refuted. Two losses that are not refuted end it as before, so that a call that crashes its upstreams reaches two of them.

Weighed: waiting until the deadline would keep callers from coming back to another instance; a check of the upstream would wait for a slot there.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallEvidence.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallEvidence.java
@@ -6,6 +6,7 @@
 import org.gentianwalk.core.policy.suspect.SuspectEntry;
 import org.gentianwalk.core.policy.suspect.SuspectTable;
 import org.gentianwalk.core.policy.suspect.SuspectTable.Verdict;
+import org.jspecify.annotations.Nullable;
 
 /** Evidence of this and other instances on which calls crash the upstreams of a service. */
 final class CallEvidence {
@@ -20,18 +21,24 @@
     private final LossEvidence<CallTarget> mLosses = new LossEvidence<>(mSuspects);
     private long mChanges;
 
-    /** Records what the end of an attempt shows. */
-    void recordEnd(
+    /**
+     * Records what the end of an attempt shows.
+     *
+     * @return the possible loss of the upstream, or null
+     */
+    LossEvidence.@Nullable Outcome recordEnd(
             String requestId,
             SuspectSubject subject,
             CallTarget target,
             AttemptEnd end,
             long nowNanos) {
         if (end.isProcessLost()) {
-            mLosses.recordLoss(target, requestId, subject, true, nowNanos);
-        } else if (end == AttemptEnd.SUCCEEDED || end == AttemptEnd.ANSWERED_ERROR) {
+            return mLosses.recordLoss(target, requestId, subject, true, nowNanos);
+        }
+        if (end == AttemptEnd.SUCCEEDED || end == AttemptEnd.ANSWERED_ERROR) {
             mChanges += mLosses.recordOutput(subject, nowNanos) ? 1 : 0;
         }
+        return null;
     }
 
     void advance(long nowNanos) {
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallRun.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallRun.java
@@ -18,11 +18,13 @@
     /** Time from which the call may reach each upstream again that it has reached. */
     private final Map<String, Long> mReachableAt = new HashMap<>();
 
-    private int mLosses;
+    /** The possible losses of upstreams under the call, by process. */
+    private final Map<String, LossEvidence.Outcome> mLosses = new HashMap<>();
 
     private @Nullable CallTarget mTarget;
     private int mAttempt;
     private long mStartedAt;
+    private long mEndedAt;
     private int mUnexecutedAttempts;
     private int mRejections;
     private int mExecutions;
@@ -84,15 +86,18 @@
     }
 
     /** Records the end of the attempt in progress. */
-    void recordEnd(AttemptEnd end, long nowNanos) {
+    void recordEnd(AttemptEnd end, LossEvidence.@Nullable Outcome loss, long nowNanos) {
         CallTarget target = mTarget;
         if (target == null) {
             return;
         }
         mTarget = null;
+        mEndedAt = nowNanos;
         long pause = FIRST_PAUSE_NANOS << Math.min(mAttempt - 1, 8);
         mReachableAt.put(target.upstream().id(), nowNanos + Math.min(pause, MAX_PAUSE_NANOS));
-        mLosses += end.isProcessLost() ? 1 : 0;
+        if (loss != null) {
+            mLosses.put(target.upstream().process(), loss);
+        }
         mRetryTaken &= end.isNotSent();
         mUnexecutedAttempts += end.isNotExecuted() ? 1 : 0;
         mRejections += end == AttemptEnd.REJECTED ? 1 : 0;
@@ -122,7 +127,12 @@
 
     /** Returns the number of processes that may have been lost under the call. */
     int losses() {
-        return mLosses;
+        return (int) mLosses.values().stream().filter(loss -> !loss.isRefuted()).count();
+    }
+
+    /** Returns the time since the end of the last attempt, nanoseconds. */
+    long sinceEnd(long nowNanos) {
+        return nowNanos - mEndedAt;
     }
 
     /**
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -38,6 +38,13 @@
     /** Number of upstreams that may be lost under one call. */
     private static final int MAX_LOSSES = 2;
 
+    /**
+     * Time for which a call waits until it is settled whether upstreams were lost under it. Calls
+     * of others show within it that an upstream lives, and the caller can still come back
+     * afterwards.
+     */
+    private static final long SETTLING_NANOS = Duration.ofMillis(750).toNanos();
+
     private final String mService;
     private final FleetRetryBudget mRetries;
     private final UpstreamLimits mLimits;
@@ -109,8 +116,10 @@
         long duration = nowNanos - call.startedAt();
         target.release(call.startedAt());
         target.recordEnd(end, call.startedAt(), nowNanos);
-        call.recordEnd(end, nowNanos);
-        mEvidence.recordEnd(call.work().requestId(), call.subject(), target, end, nowNanos);
+        call.recordEnd(
+                end,
+                mEvidence.recordEnd(call.work().requestId(), call.subject(), target, end, nowNanos),
+                nowNanos);
         if (end == AttemptEnd.SUCCEEDED) {
             mTargets.recordDuration(duration);
             mCalls.remove(work);
@@ -254,7 +263,8 @@
     }
 
     /**
-     * Sends a call that may have been executed once more. It waits while no upstream can take it.
+     * Sends a call that may have been executed once more. It waits while no upstream can take it,
+     * or while it is not settled whether its content crashes upstreams.
      */
     private void repeat(CallRun call, long nowNanos) {
         if (nowNanos - call.work().deadlineNanos() >= 0) {
@@ -270,11 +280,13 @@
             finishStopping(call, nowNanos);
             return;
         }
+        mWaiting.add(call);
         if (verdict == Verdict.PENDING || call.losses() >= MAX_LOSSES) {
-            finishUnknown(call, nowNanos);
+            if (call.sinceEnd(nowNanos) >= SETTLING_NANOS) {
+                finishUnknown(call, nowNanos);
+            }
             return;
         }
-        mWaiting.add(call);
         CallTarget target = mTargets.chooseForRepeat(call, nowNanos);
         if (target == null) {
             return;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
@@ -65,19 +65,41 @@
      * @param subject what the loss may be attributed to
      * @param closed true when the connection was closed, false when the upstream did not respond
      * @param atNanos time of the loss
+     * @param outcome whether the loss counts
      */
     private record Loss<P>(
-            P process, String requestId, SuspectSubject subject, boolean closed, long atNanos) {}
+            P process,
+            String requestId,
+            SuspectSubject subject,
+            boolean closed,
+            long atNanos,
+            Outcome outcome) {}
+
+    /** What has become known about a possible loss. */
+    static final class Outcome {
+        private boolean mRefuted;
+
+        /** Returns whether the process has shown a sign of life since. */
+        boolean isRefuted() {
+            return mRefuted;
+        }
+    }
 
-    /** Records that an attempt without output has lost its upstream. */
-    void recordLoss(
+    /**
+     * Records that an attempt without output has lost its upstream.
+     *
+     * @return what becomes known about the loss; nothing if the subject is not known
+     */
+    Outcome recordLoss(
             P process, String requestId, SuspectSubject subject, boolean closed, long nowNanos) {
+        Outcome outcome = new Outcome();
         if (subject.isKnown()) {
             // An upstream that did not respond before it closed the connection is lost once.
             mUnconfirmed.removeIf(
                     loss -> loss.process() == process && loss.requestId().equals(requestId));
-            mUnconfirmed.add(new Loss<>(process, requestId, subject, closed, nowNanos));
+            mUnconfirmed.add(new Loss<>(process, requestId, subject, closed, nowNanos, outcome));
         }
+        return outcome;
     }
 
     /** Returns the losses that were settled since the last call. */
@@ -184,6 +206,7 @@
         List<Loss<P>> dropped = mUnconfirmed.stream().filter(isSettled).toList();
         mUnconfirmed.removeAll(dropped);
         for (Loss<P> loss : dropped) {
+            loss.outcome().mRefuted = sign == SettledLoss.Sign.ALIVE;
             if (mSettled.size() < MAX_SETTLED) {
                 mSettled.add(
                         new SettledLoss(
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallRepetitionTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallRepetitionTest.java
@@ -80,6 +80,20 @@
         assertThat(mNow).isGreaterThanOrEqualTo(500 * MS);
     }
 
+    /** Each of two upstreams resets a connection once, and goes on with the calls of others. */
+    @Test
+    void aCallIsRepeatedOnceItsLossesAreRefuted() {
+        offer(mNear, mNext);
+        endAndRepeat(1, AttemptEnd.RESET);
+        end(2, AttemptEnd.RESET);
+        advance(300 * MS);
+        mScheduler.offer(Samples.call(9, RequestKind.SINGLE_CALL, 1, mNow), mNow);
+        mScheduler.advance(mNow);
+        mScheduler.recordAttemptEnd(9, 1, AttemptEnd.SUCCEEDED, mNow);
+
+        assertThat(nextStart().work().id()).isEqualTo(1);
+    }
+
     /** Two processes ended under the call; a third one is not put at risk. */
     @Test
     void aCallWithTwoUnsettledLossesIsNotRepeated() {
