Tell invalid answers of an upstream from the loss of its process

Cause: an attempt with an invalid answer ended as LOST. For a stream that counts as the loss of an engine: it is reported to all instances, weighs on the zone, and makes the request suspect, although the process goes on. Change: AttemptEnd.GARBLED. The attempt counts against max_attempts and the retry budget, the engine gets the backoff of 150 ms to 1.2 s, and nothing is reported or counted as evidence. CallRepetitionTest repeats a call after it, too.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/AttemptEnd.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/AttemptEnd.java
@@ -18,6 +18,11 @@
     EXPIRED,
     /** The request was sent but no complete answer arrived; it may have been executed. */
     LOST,
+    /**
+     * The upstream sent what is no valid answer; it may have executed the request. Its process goes
+     * on, so this is no sign that the request ends processes.
+     */
+    GARBLED,
     /** Like {@link #LOST}, cancelled since it had no output for long at an engine that responds. */
     STALLED,
     /** Cancelled since another attempt of the request produced the next output first. */
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
@@ -187,7 +187,7 @@
                 // The process may have been started again before the list shows it.
                 recordProcessEnd(nowNanos);
             }
-            case UNREACHABLE, RESET, LOST, STALLED -> {
+            case UNREACHABLE, RESET, LOST, GARBLED, STALLED -> {
                 mReachability.recordFailure(nowNanos);
                 if (!end.isNotSent() && startedNanos - mNotListeningAt > 0) {
                     // A connection was accepted, so the process listened again.
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamRun.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamRun.java
@@ -253,7 +253,7 @@
             mInterrupted |= attempt.hasOutput();
             if (end != AttemptEnd.SUPERSEDED) {
                 mExecutions++;
-                mSuspect |= !attempt.hasOutput();
+                mSuspect |= end != AttemptEnd.GARBLED && !attempt.hasOutput();
             }
         }
     }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -237,6 +237,7 @@
                 // Says nothing about the engine, or what it is suspected of has been recorded.
             }
             case UNREACHABLE -> mEngineView.recordFailure(engine, true, nowNanos);
+            case GARBLED -> engine.reachability().recordFailure(nowNanos);
             case MISDIRECTED, NOT_LISTENING, CRASHED -> {
                 // The listed process has ended; the list has not been updated yet.
                 mEngineView.recordFailure(engine, false, nowNanos);
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallRepetitionTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallRepetitionTest.java
@@ -43,7 +43,7 @@
 
     /** The only upstream resets its connections, and responds to others all the while. */
     @ParameterizedTest
-    @EnumSource(names = {"RESET", "LOST"})
+    @EnumSource(names = {"RESET", "LOST", "GARBLED"})
     void aCallIsRepeatedAtItsOnlyUpstream(AttemptEnd end) {
         offer(mNear);
         end(1, end);
