Forward only the event that is due in a numbered stream

Callers saw: an event that no run of an engine made, with status 200 and a response framed as complete. Cause: EventSplitter made "no number" of every id that it could not read, took the first id line, and did not end lines at CR; Exchange checked the order only of events with a number. The class of fault: what can't be read is treated as if it were not there. Change: EventParser reads the fields by the grammar of text/event-stream.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/EventSplitter.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/EventSplitter.java
@@ -3,11 +3,12 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 
 /**
- * Splits the bytes of a stream into complete events (text/event-stream). Retains at most {@link
- * #MAX_EVENT_BYTES} of an incomplete event. Empty lines between events are dropped, since they
- * belong to no event.
+ * Splits the bytes of a stream into complete blocks (text/event-stream). Lines end with LF, CR or
+ * CRLF. Retains at most {@link #MAX_EVENT_BYTES} of an incomplete block. Empty lines between blocks
+ * and a byte order mark at the start are dropped, since they belong to no block.
  */
 final class EventSplitter {
     /**
@@ -17,10 +18,7 @@
      */
     static final int MAX_EVENT_BYTES = 256 << 10;
 
-    private static final byte[] ID_FIELD = {'i', 'd', ':'};
-
-    /** Maximum digits of an event number; any number of 18 digits fits into a long. */
-    private static final int MAX_DIGITS = 18;
+    private static final byte[] BYTE_ORDER_MARK = {(byte) 0xef, (byte) 0xbb, (byte) 0xbf};
 
     /** Initial capacity, bytes. A larger array is released once its event is complete. */
     private static final int INITIAL_CAPACITY = 512;
@@ -28,40 +26,85 @@
     private byte[] mBytes = new byte[INITIAL_CAPACITY];
     private int mLength;
     private boolean mExceeded;
+    private boolean mStarted;
+    private Line mLine = Line.EMPTY;
+
+    /** What precedes the next byte. */
+    private enum Line {
+        /** The end of a line, or of a block, that is complete. */
+        EMPTY,
+        /** A part of a line. */
+        PARTIAL,
+        /** The CR of a line with content, which a LF may follow. */
+        ENDED_BY_CR,
+        /** The CR of the empty line that ends a block whose other lines have a LF. */
+        BLOCK_ENDED_BY_CR,
+        /** A block whose lines end with CR only, which was returned; a LF after it is dropped. */
+        AFTER_CR_BLOCK
+    }
 
     /**
-     * Adds bytes and returns the events that they complete. No events are returned after one that
-     * exceeds the maximum size.
+     * Adds bytes and returns the blocks that they complete. None is returned after one that exceeds
+     * the maximum size.
      */
     List<StreamEvent> add(byte[] part) {
         List<StreamEvent> events = new ArrayList<>(2);
         int start = 0;
         for (int i = 0; i < part.length && !mExceeded; i++) {
-            if (start == i && mLength == 0 && isLineEnd(part[i])) {
-                start++;
-            } else if (part[i] == '\n' && endsEvent(part, start, i)) {
-                retain(part, start, i + 1);
-                if (!mExceeded) {
-                    events.add(takeEvent());
+            byte next = part[i];
+            if (mLine == Line.BLOCK_ENDED_BY_CR) {
+                int end = next == '\n' ? i + 1 : i;
+                complete(part, start, end, events);
+                start = end;
+                if (next == '\n') {
+                    continue;
                 }
+            } else if (mLine == Line.AFTER_CR_BLOCK && next == '\n') {
+                mLine = Line.EMPTY;
                 start = i + 1;
+                continue;
+            } else if (mLine == Line.ENDED_BY_CR && next == '\n') {
+                mLine = Line.EMPTY;
+                continue;
+            }
+            if (next != '\n' && next != '\r') {
+                mLine = Line.PARTIAL;
+            } else if (mLine == Line.PARTIAL) {
+                mLine = next == '\r' ? Line.ENDED_BY_CR : Line.EMPTY;
+            } else if (mLength == 0 && start == i) {
+                start++;
+            } else if (next == '\n') {
+                complete(part, start, i + 1, events);
+                start = i + 1;
+            } else if (mLine == Line.ENDED_BY_CR) {
+                // The next event may be far off, so a LF after it is not waited for.
+                complete(part, start, i + 1, events);
+                mLine = Line.AFTER_CR_BLOCK;
+                start = i + 1;
+            } else {
+                mLine = Line.BLOCK_ENDED_BY_CR;
             }
         }
         retain(part, start, part.length);
         return events;
     }
 
+    /** Returns the block that the end of the stream completes: one whose last byte is a CR. */
+    @Nullable StreamEvent end() {
+        return mLine == Line.BLOCK_ENDED_BY_CR && !mExceeded ? takeEvent() : null;
+    }
+
     /** Returns whether the stream has an event that exceeds the maximum size. */
     boolean isExceeded() {
         return mExceeded;
     }
 
-    /** Returns the bytes after the last complete event, without empty lines that follow it. */
+    /** Returns the bytes after the last complete block, without empty lines that follow it. */
     byte[] remainder() {
         return Arrays.copyOf(mBytes, mLength);
     }
 
-    /** Returns whether the bytes after the last complete event are more than empty lines. */
+    /** Returns whether the bytes after the last complete block are more than empty lines. */
     boolean isWithinEvent() {
         return mLength > 0 || mExceeded;
     }
@@ -71,6 +114,13 @@
         return mBytes.length;
     }
 
+    private void complete(byte[] part, int start, int end, List<StreamEvent> events) {
+        retain(part, start, end);
+        if (!mExceeded) {
+            events.add(takeEvent());
+        }
+    }
+
     private void retain(byte[] part, int start, int end) {
         int length = mLength + end - start;
         if (mExceeded || length > MAX_EVENT_BYTES) {
@@ -87,9 +137,17 @@
     }
 
     private StreamEvent takeEvent() {
-        byte[] bytes = Arrays.copyOf(mBytes, mLength);
+        int start = !mStarted && hasByteOrderMark() ? BYTE_ORDER_MARK.length : 0;
+        byte[] bytes = Arrays.copyOfRange(mBytes, start, mLength);
+        mStarted = true;
+        mLine = Line.EMPTY;
         release();
-        return new StreamEvent(parseNumber(bytes), bytes);
+        return EventParser.parse(bytes);
+    }
+
+    private boolean hasByteOrderMark() {
+        int length = BYTE_ORDER_MARK.length;
+        return mLength >= length && Arrays.equals(mBytes, 0, length, BYTE_ORDER_MARK, 0, length);
     }
 
     private void release() {
@@ -98,62 +156,4 @@
             mBytes = new byte[INITIAL_CAPACITY];
         }
     }
-
-    /** Returns whether the line feed at {@code end} of a part ends an empty line of an event. */
-    private boolean endsEvent(byte[] part, int start, int end) {
-        int before = end - 1;
-        if (byteAt(part, start, before) == '\r') {
-            before--;
-        }
-        return byteAt(part, start, before) == '\n';
-    }
-
-    /** Returns the byte at an index of a part, or of the retained bytes before its start. */
-    private byte byteAt(byte[] part, int start, int index) {
-        if (index >= start) {
-            return part[index];
-        }
-        int retained = mLength - (start - index);
-        return retained >= 0 ? mBytes[retained] : 0;
-    }
-
-    private static boolean isLineEnd(byte value) {
-        return value == '\n' || value == '\r';
-    }
-
-    /** Parses the number of an event from its bytes, which avoids a string for each line. */
-    private static long parseNumber(byte[] event) {
-        boolean lineStart = true;
-        for (int i = 0; i < event.length; i++) {
-            if (lineStart && startsWith(event, i)) {
-                return parseDigits(event, i + ID_FIELD.length);
-            }
-            lineStart = event[i] == '\n';
-        }
-        return StreamEvent.UNNUMBERED;
-    }
-
-    private static boolean startsWith(byte[] event, int from) {
-        int end = from + ID_FIELD.length;
-        return end <= event.length && Arrays.equals(event, from, end, ID_FIELD, 0, ID_FIELD.length);
-    }
-
-    /** Parses an id field; a value that is not a number leaves the event unnumbered. */
-    private static long parseDigits(byte[] event, int from) {
-        int i = from;
-        while (i < event.length && event[i] == ' ') {
-            i++;
-        }
-        long number = 0;
-        int count = 0;
-        for (; i < event.length && event[i] >= '0' && event[i] <= '9'; i++) {
-            number = number * 10 + event[i] - '0';
-            count++;
-        }
-        while (i < event.length && (event[i] == ' ' || event[i] == '\r')) {
-            i++;
-        }
-        boolean valid = count > 0 && count <= MAX_DIGITS && i < event.length && event[i] == '\n';
-        return valid ? number : StreamEvent.UNNUMBERED;
-    }
 }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -13,6 +13,7 @@
 import org.gentianwalk.core.dispatch.UpstreamLoad;
 import org.gentianwalk.core.dispatch.Work;
 import org.gentianwalk.core.dispatch.WorkScheduler;
+import org.gentianwalk.core.route.RequestKind;
 import org.gentianwalk.core.time.Ticker;
 import org.gentianwalk.gateway.http.CallerChannel;
 import org.gentianwalk.gateway.http.CallerRequest;
@@ -337,6 +338,12 @@
         /** Highest number of an event of this attempt, also of one that is not forwarded; or 0. */
         private long mLastNumber;
 
+        /** Whether an event without a number was forwarded. */
+        private boolean mUnnumbered;
+
+        /** Mark of the end without a number, which is forwarded when nothing follows it. */
+        private @Nullable StreamEvent mEndMark;
+
         private long mLastOutputAt;
 
         Attempt(Decision.Start start) {
@@ -436,11 +443,10 @@
                     if (!isInProgress(this)) {
                         return;
                     }
-                    forward(event);
+                    receive(event);
                 }
                 if (isInProgress(this) && mSplitter.isExceeded()) {
-                    cancelCall();
-                    endAttempt(this, AttemptEnd.LOST, "an event exceeds the maximum size");
+                    endGarbled("an event exceeds the maximum size");
                 }
                 return;
             }
@@ -471,7 +477,7 @@
                 mChannel.end();
                 completeDelivery(this);
             } else if (head.isSuccess() && mHeadSent) {
-                endAttempt(this, AttemptEnd.LOST, "the response does not continue the stream");
+                endAttempt(this, AttemptEnd.GARBLED, "the response does not continue the stream");
             } else if (head.isSuccess()) {
                 cancelOthers();
                 new BufferedResponse(head, headers, mBody.toByteArray()).writeTo(mChannel);
@@ -502,7 +508,7 @@
                         case REFUSED -> mResent ? AttemptEnd.CRASHED : AttemptEnd.NOT_LISTENING;
                         case EXPIRED -> mResent ? AttemptEnd.RESET : AttemptEnd.EXPIRED;
                         case BROKEN, STALE -> AttemptEnd.RESET;
-                        case GARBLED -> AttemptEnd.LOST;
+                        case GARBLED -> AttemptEnd.GARBLED;
                     };
             endAttempt(this, end, failure + ": " + cause);
         }
@@ -524,7 +530,7 @@
                         mResent ? AttemptEnd.LOST : AttemptEnd.REJECTED,
                         "status " + head.status() + ", not run");
             } else if (head.isSuccess() && !head.signed()) {
-                endAttempt(this, AttemptEnd.LOST, "success without a signature");
+                endAttempt(this, AttemptEnd.GARBLED, "success without a signature");
             } else {
                 return false;
             }
@@ -547,7 +553,7 @@
                 cancelCall();
                 endAttempt(
                         this,
-                        head.isSuccess() ? AttemptEnd.LOST : AttemptEnd.ANSWERED_ERROR,
+                        head.isSuccess() ? AttemptEnd.GARBLED : AttemptEnd.ANSWERED_ERROR,
                         "the response does not continue the stream");
                 return;
             }
@@ -562,23 +568,57 @@
             pauseIfUnwritable();
         }
 
-        private void forward(StreamEvent event) {
+        /** Forwards a block of the stream if it is the event that is due. */
+        private void receive(StreamEvent event) {
+            switch (event.form()) {
+                case EVENT -> receiveEvent(event);
+                case MALFORMED -> endGarbled("bytes that are no event");
+                default -> {
+                    // Comments and retry times are for this connection, not for the caller's.
+                }
+            }
+        }
+
+        private void receiveEvent(StreamEvent event) {
             long number = event.number();
-            if (number != StreamEvent.UNNUMBERED) {
+            if (mEndMark != null) {
+                endGarbled("an event follows the mark of the end");
+            } else if (number == StreamEvent.UNNUMBERED) {
+                receiveUnnumbered(event);
+            } else if (mUnnumbered) {
+                endGarbled("event " + number + " follows events without a number");
+            } else if (number > mLastEvent + 1) {
+                endGarbled("event " + number);
+            } else {
                 mLastNumber = Math.max(mLastNumber, number);
-                if (number <= mLastEvent) {
-                    return;
-                }
-                if (number > mLastEvent + 1) {
-                    cancelCall();
-                    endAttempt(
-                            this,
-                            AttemptEnd.LOST,
-                            "event " + number + " follows event " + mLastEvent);
-                    return;
+                if (number > mLastEvent) {
+                    mLastEvent = number;
+                    forward(event);
                 }
-                mLastEvent = number;
             }
+        }
+
+        /** Only a stream that can't be resumed may have no numbers, and then none at all. */
+        private void receiveUnnumbered(StreamEvent event) {
+            if (mWork.kind() == RequestKind.RESUMABLE_STREAM) {
+                endGarbled("an event without a valid number");
+            } else if (mLastNumber == 0) {
+                mUnnumbered = true;
+                forward(event);
+            } else if (event.isEndMark()) {
+                mEndMark = event;
+            } else {
+                endGarbled("an event without a valid number");
+            }
+        }
+
+        /** Ends the attempt, since what the upstream sends is not its stream. */
+        private void endGarbled(String cause) {
+            cancelCall();
+            endAttempt(this, AttemptEnd.GARBLED, cause + " after event " + mLastEvent);
+        }
+
+        private void forward(StreamEvent event) {
             sendHead();
             mChannel.write(event.bytes());
             recordForwarded();
@@ -606,6 +646,13 @@
         }
 
         private void completeStream() {
+            StreamEvent last = mSplitter.end();
+            if (last != null) {
+                receive(last);
+                if (!isInProgress(this)) {
+                    return;
+                }
+            }
             if (mSplitter.isWithinEvent()) {
                 endAttempt(this, AttemptEnd.LOST, "the stream ends within an event");
                 return;
@@ -627,6 +674,9 @@
                                 + mLastEvent);
                 return;
             }
+            if (mEndMark != null) {
+                forward(mEndMark);
+            }
             cancelOthers();
             sendHead();
             mChannel.end();
