Accept only a stream of events as the answer of a resumable stream

Callers would see: a body of any type in place of a resumable stream, with status 200. Cause: a success whose content type is not text/event-stream was passed on as a whole body, so its events were not checked; a content type that is missing or can't be read counted as "no stream". Change: the attempt ends as garbled and the stream goes on at another engine. Streams that can't be resumed keep their answers of other types, as OpenAI-compatible clients may ask for them. Test: WrongEventTest.aSuccessThatIsNoStreamIsNotAnAnswerOfAResumableStream, 5 and 300,000 bytes, fails 2 of 2 without the change.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -531,6 +531,10 @@
                         "status " + head.status() + ", not run");
             } else if (head.isSuccess() && !head.signed()) {
                 endAttempt(this, AttemptEnd.GARBLED, "success without a signature");
+            } else if (head.isSuccess()
+                    && mWork.kind() == RequestKind.RESUMABLE_STREAM
+                    && !mStreaming) {
+                endAttempt(this, AttemptEnd.GARBLED, "the response is no stream of events");
             } else {
                 return false;
             }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/WrongEventTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/WrongEventTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against events that an engine did not generate, or that are numbered wrongly. */
 class WrongEventTest {
@@ -169,6 +170,23 @@
         }
     }
 
+    /** A body of another type has no events that could be checked, and can't be resumed. */
+    @ParameterizedTest
+    @ValueSource(ints = {5, 300_000})
+    void aSuccessThatIsNoStreamIsNotAnAnswerOfAResumableStream(int length) throws Exception {
+        script(
+                (request, connection) -> {
+                    if (mRuns.get() == 0 && !request.id().isEmpty()) {
+                        mRuns.incrementAndGet();
+                        connection.write(ScriptedUpstream.success(request, "x".repeat(length)));
+                    } else {
+                        stream(request, connection, "", 1, false);
+                    }
+                });
+
+        assertWholeStream(2);
+    }
+
     /** Keep-alive comments and a retry time are for this connection, and hold no event. */
     @Test
     void blocksWithoutAnEventAreNotForwarded() throws Exception {
