Use an engine again that refused a connection once it responds to a check

Cause: StreamScheduler marked the process as ended for good on NOT_LISTENING and CRASHED. A refused connection shows only that nothing listened at that moment: the process may have been started again under the same entry, or was listed too early. The engine stayed unused until its entry changed, the only engine of a service as well. Calls (CallTarget) take such an upstream back.

Change: these ends mark the engine as not listening. While the service has requests, it is checked after the backoff of 150 ms to 1.2 s, and a response to a check that started after the refusal takes it back. A failed check of it prolongs the backoff only: as a further loss it would prolong the failure of its zone. MISDIRECTED still ends the process for good, a loss at such an engine is still confirmed, and a request that may reach no other engine still ends at once (ParallelAttemptsTest).

RefusedConnectionTest before the change: 5 of 6 failed, with no attempt within the time and no check. After it: 6 of 6, and all tests of core.dispatch pass; SilentUpstreamTest 9, ResetCallTest 3, FleetModelTest 7 pass at a load of 21 on 8 cores. As a control, with failed checks counted as losses, the case about the zone fails.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineState.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineState.java
@@ -26,6 +26,8 @@
     private long mLastSign;
     private boolean mHasSign;
     private boolean mEnded;
+    private boolean mNotListening;
+    private long mNotListeningAt;
     private boolean mSilent;
     private long mSilentAt;
     private boolean mReportedSilent;
@@ -148,6 +150,7 @@
         mChecking = false;
         if (responded) {
             recordSign(nowNanos);
+            mNotListening &= !isCheckedSince(mNotListeningAt);
         }
         return responded || isAliveSince(mCheckedAt);
     }
@@ -158,19 +161,33 @@
         return mHasCheck && mCheckedAt - nanos >= 0;
     }
 
-    /** Records that the process has ended although it is still listed. */
+    /** Records that the process has ended for good although it may still be listed. */
     void markEnded() {
         mEnded = true;
     }
 
-    /** Returns whether the process is known to have ended. */
+    /** Returns whether the process is known to have ended for good. */
     boolean hasEnded() {
         return mEnded;
     }
 
+    /**
+     * Records that nothing listened at the address. The process may have been started again under
+     * the same entry, or was listed too early, so a later check that it responds to ends this.
+     */
+    void markNotListening(long nowNanos) {
+        mNotListening = true;
+        mNotListeningAt = nowNanos;
+    }
+
+    /** Returns whether nothing listened at the address, and no check has shown otherwise since. */
+    boolean isNotListening() {
+        return mNotListening;
+    }
+
     @Override
     public boolean hasEndedAfter(long lossNanos) {
-        return mEnded;
+        return mEnded || mNotListening;
     }
 
     Reachability reachability() {
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineView.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineView.java
@@ -215,8 +215,18 @@
                 .toList();
     }
 
+    /** Returns the listed engines at which nothing listened, and which may be checked again. */
+    List<EngineState> notListeningEngines(long nowNanos) {
+        return mEngines.values().stream()
+                .filter(EngineState::isNotListening)
+                .filter(engine -> !engine.hasEnded() && !engine.upstream().draining())
+                .filter(engine -> !engine.reachability().isBackingOff(nowNanos))
+                .toList();
+    }
+
     private boolean isAlive(EngineState engine, long nowNanos) {
         if (engine.hasEnded()
+                || engine.isNotListening()
                 || mEngines.get(engine.upstream().id()) != engine
                 || engine.reachability().isBackingOff(nowNanos)) {
             return false;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossDetector.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossDetector.java
@@ -96,7 +96,12 @@
     @Nullable EngineState recordCheck(Upstream upstream, boolean responded, long nowNanos) {
         EngineState engine = mPendingChecks.remove(upstream);
         if (engine != null && !engine.endCheck(responded, nowNanos)) {
-            mEngineView.recordFailure(engine, true, nowNanos);
+            if (engine.isNotListening()) {
+                // The loss has been recorded. Another one would prolong the failure of its zone.
+                engine.reachability().recordFailure(nowNanos);
+            } else {
+                mEngineView.recordFailure(engine, true, nowNanos);
+            }
         }
         return engine;
     }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -238,11 +238,15 @@
             }
             case UNREACHABLE -> mEngineView.recordFailure(engine, true, nowNanos);
             case GARBLED -> engine.reachability().recordFailure(nowNanos);
-            case MISDIRECTED, NOT_LISTENING, CRASHED -> {
+            case MISDIRECTED -> {
                 // The listed process has ended; the list has not been updated yet.
                 mEngineView.recordFailure(engine, false, nowNanos);
                 engine.markEnded();
             }
+            case NOT_LISTENING, CRASHED -> {
+                mEngineView.recordFailure(engine, false, nowNanos);
+                engine.markNotListening(nowNanos);
+            }
             default -> mEngineView.recordFailure(engine, false, nowNanos);
         }
         if (end.isProcessLost()) {
@@ -368,6 +372,11 @@
         if (mEvidence.advance(nowNanos)) {
             mLoadChanges++;
         }
+        if (!mRuns.isEmpty()) {
+            mEngineView
+                    .notListeningEngines(nowNanos)
+                    .forEach(engine -> mLossDetector.requestCheck(engine, nowNanos));
+        }
         for (StreamRun run : List.copyOf(mRuns.values())) {
             boolean notExecuted = !run.mayHaveRun();
             if (nowNanos - run.work().deadlineNanos() >= 0) {
@@ -631,6 +640,7 @@
                                 engine ->
                                         run.mayUse(engine, 0)
                                                 && !engine.hasEnded()
+                                                && !engine.isNotListening()
                                                 && !engine.upstream().draining());
     }
 
