Read an engine's events by the grammar of text/event-stream

Cause: EngineStream took each line that begins with "data:" for an event. Lines with any other beginning were skipped, so that data with a wrong byte was lost without a trace, and an answer whose last tokens were in it ended as complete. "[DONE]" with bytes after it ended the answer as well, an event that the end of the connection cut counted, lines did not end at CR, and data in several lines or after a byte order mark was not read. Change: lines end with LF, CR or CRLF, a byte order mark is skipped, fields are compared as a whole, the data lines of an event are joined, and only an empty line ends an event. A block without data but with a field that is not of the format is broken, as is data that is neither a chunk nor exactly the mark of the end. The limit of 1 MiB holds for an event, not just for a line.

--- a/gentianwalk-server/src/main/java/org/gentianwalk/server/upstream/EngineStream.java
+++ b/gentianwalk-server/src/main/java/org/gentianwalk/server/upstream/EngineStream.java
@@ -2,27 +2,54 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import org.gentianwalk.server.upstream.EngineException.Reason;
 import org.jspecify.annotations.Nullable;
 
 /**
- * The output events of one request to an engine. Closing the stream early closes the connection.
+ * The output events of one request to an engine, read by the grammar of text/event-stream: lines
+ * end with LF, CR or CRLF, an empty line ends an event, its data lines are joined, and an event
+ * that the end of the connection cuts does not count. Closing the stream early closes the
+ * connection.
  */
 public final class EngineStream implements AutoCloseable {
-    private static final byte[] DATA = {'d', 'a', 't', 'a', ':'};
-    private static final byte[] DONE = {'[', 'D', 'O', 'N', 'E', ']'};
+    private static final byte[] BYTE_ORDER_MARK = "\uFEFF".getBytes(StandardCharsets.UTF_8);
+    private static final byte[] DATA = "data".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] DONE = "[DONE]".getBytes(StandardCharsets.US_ASCII);
 
-    // Fits one typical event with its framing; the buffer grows for longer events.
+    /** Other fields of the format; they have no effect on the output. */
+    private static final byte[][] IGNORED = {
+        "event".getBytes(StandardCharsets.US_ASCII),
+        "id".getBytes(StandardCharsets.US_ASCII),
+        "retry".getBytes(StandardCharsets.US_ASCII)
+    };
+
+    // Fits one typical event with its framing; the buffers grow for longer events.
     private static final int BUFFER_BYTES = 1024;
 
-    // Limits memory; no valid event of the protocol has a longer line.
-    private static final int MAX_LINE_BYTES = 1 << 20;
+    // Limits memory; no valid event of the protocol is longer.
+    private static final int MAX_EVENT_BYTES = 1 << 20;
 
     private final InputStream mInput;
+
+    /** Bytes that were received; those from {@code mStart} to {@code mEnd} are not read yet. */
     private byte[] mBuffer = new byte[BUFFER_BYTES];
+
     private int mStart;
     private int mEnd;
+    private boolean mFirstLine = true;
+
+    /** Whether the last line ended with CR, so that an LF after it belongs to its end. */
+    private boolean mAfterReturn;
+
+    /** Data of the event that is being read, each line followed by LF. */
+    private byte[] mData = new byte[BUFFER_BYTES];
+
+    private int mDataLength;
+
+    /** Whether the event that is being read has a field that is not of the format. */
+    private boolean mUnknownField;
 
     EngineStream(InputStream input) {
         mInput = input;
@@ -35,20 +62,22 @@
      * @throws EngineException if the connection broke or the event is malformed
      */
     public @Nullable EngineChunk next() throws EngineException {
+        mDataLength = 0;
+        mUnknownField = false;
         try {
             int length = nextLine();
             while (length >= 0) {
                 int from = mStart;
+                mAfterReturn = mBuffer[from + length] == '\r';
                 mStart += length + 1;
-                if (startsWith(from, length, DATA)) {
-                    int begin = from + DATA.length;
-                    while (begin < from + length && mBuffer[begin] == ' ') {
-                        begin++;
-                    }
-                    int size = from + length - begin;
-                    boolean done = startsWith(begin, size, DONE);
-                    return done ? null : ChunkParser.parse(mBuffer, begin, size);
+                if (length == 0 && mDataLength > 0) {
+                    return isDone() ? null : ChunkParser.parse(mData, 0, mDataLength);
+                }
+                if (length == 0 && mUnknownField) {
+                    // Such a line may be data with a wrong byte, so a token would be lost.
+                    throw new EngineException(Reason.BROKEN, "bytes that are no event");
                 }
+                readLine(from, from + length);
                 length = nextLine();
             }
         } catch (IOException e) {
@@ -66,6 +95,64 @@
         }
     }
 
+    private void readLine(int lineStart, int end) throws EngineException {
+        int from = lineStart;
+        if (mFirstLine && startsWith(from, end, BYTE_ORDER_MARK)) {
+            from += BYTE_ORDER_MARK.length;
+        }
+        mFirstLine = false;
+        int colon = from;
+        while (colon < end && mBuffer[colon] != ':') {
+            colon++;
+        }
+        if (colon == from) {
+            return;
+        }
+        if (!isField(from, colon, DATA)) {
+            mUnknownField |= !isIgnored(from, colon);
+            return;
+        }
+        int value = Math.min(colon + 1, end);
+        if (value < end && mBuffer[value] == ' ') {
+            value++;
+        }
+        addData(value, end);
+    }
+
+    private void addData(int from, int end) throws EngineException {
+        int needed = mDataLength + end - from + 1;
+        if (needed > MAX_EVENT_BYTES) {
+            throw new EngineException(Reason.BROKEN, "event is too long");
+        }
+        if (needed > mData.length) {
+            mData = Arrays.copyOf(mData, Math.max(needed, mData.length * 2));
+        }
+        System.arraycopy(mBuffer, from, mData, mDataLength, end - from);
+        mData[needed - 1] = '\n';
+        mDataLength = needed;
+    }
+
+    private boolean isDone() {
+        return Arrays.equals(mData, 0, mDataLength - 1, DONE, 0, DONE.length);
+    }
+
+    private boolean isIgnored(int from, int end) {
+        for (byte[] field : IGNORED) {
+            if (isField(from, end, field)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean isField(int from, int end, byte[] name) {
+        return Arrays.equals(mBuffer, from, end, name, 0, name.length);
+    }
+
+    private boolean startsWith(int from, int end, byte[] prefix) {
+        return end - from >= prefix.length && isField(from, from + prefix.length, prefix);
+    }
+
     /**
      * Buffers a complete line beginning at {@code mStart}; returns its length, or -1 at the end of
      * the stream.
@@ -73,8 +160,13 @@
     private int nextLine() throws IOException, EngineException {
         int scanned = mStart;
         while (true) {
+            if (mAfterReturn && mStart < mEnd) {
+                mAfterReturn = false;
+                mStart += mBuffer[mStart] == '\n' ? 1 : 0;
+                scanned = mStart;
+            }
             for (; scanned < mEnd; scanned++) {
-                if (mBuffer[scanned] == '\n') {
+                if (mBuffer[scanned] == '\n' || mBuffer[scanned] == '\r') {
                     return scanned - mStart;
                 }
             }
@@ -98,16 +190,11 @@
             mEnd -= moved;
         }
         if (mEnd == mBuffer.length) {
-            if (mBuffer.length >= MAX_LINE_BYTES) {
+            if (mBuffer.length >= MAX_EVENT_BYTES) {
                 throw new EngineException(Reason.BROKEN, "event is too long");
             }
             mBuffer = Arrays.copyOf(mBuffer, mBuffer.length * 2);
         }
         return moved;
     }
-
-    private boolean startsWith(int from, int length, byte[] prefix) {
-        return length >= prefix.length
-                && Arrays.equals(mBuffer, from, from + prefix.length, prefix, 0, prefix.length);
-    }
 }
