Send wrong events and answers from the upstreams of the fault soak

Change: each upstream sends, drawn from the seed, all forms of WrongEventTest (now WrongEvent, shared) before any event or at the end of a stream, bytes in place of an answer (WrongAnswer), and bytes after a complete answer (ExtraBytes); now and then, or to each request for 0.3 to 1.3 s. Both profiles do. The draws have a generator of their own, so that earlier seeds keep their faults. SoakEvents judges each event of a stream: the next one, of its own request, sent by a run of that request, and runs not mixed; an event that is cut is not counted as received. A garbled attempt is a reason for an ending of what may run once, and counts towards the maximum number of attempts; it is no lost process.

--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/FaultSoakTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/FaultSoakTest.java
@@ -86,7 +86,14 @@
             add(failed, name, "", history.violations());
             add(undecided, name, "without a decision: ", history.undecided());
             add(late, name, "late: ", history.late());
-            assertThat(history.counts()).as(name).containsKeys("200", "versions shown");
+            assertThat(history.counts())
+                    .as(name)
+                    .containsKeys(
+                            "200",
+                            "versions shown",
+                            "wrong events",
+                            "wrong answers",
+                            "extra bytes");
         }
         assertThat(failed).isEmpty();
         assertThat(undecided).as("only requests ended without a decision").isEmpty();
@@ -116,7 +123,7 @@
         try (SoakStore store = new SoakStore();
                 SoakFaults faults =
                         new SoakFaults(
-                                new Random(random.nextLong()),
+                                random.nextLong(),
                                 history,
                                 store,
                                 configuration,
@@ -129,12 +136,7 @@
                 String service =
                         SoakConfiguration.SERVICES.get(i % SoakConfiguration.SERVICES.size());
                 upstreams.add(
-                        new SoakUpstream(
-                                "u" + i,
-                                service,
-                                history,
-                                new Random(random.nextLong()),
-                                !planned));
+                        new SoakUpstream("u" + i, service, history, random.nextLong(), !planned));
                 faults.list(upstreams.get(i), false);
             }
             faults.publish(true);
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakFaults.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakFaults.java
@@ -22,6 +22,12 @@
     private static final int MAX_STOPPING = 2;
 
     private final Random mRandom;
+
+    /**
+     * Draws the times of garbage apart from the other faults, which stay those of earlier seeds.
+     */
+    private final Random mGarbleRandom;
+
     private final SoakHistory mHistory;
     private final SoakStore mStore;
     private final SoakConfiguration mConfiguration;
@@ -43,7 +49,7 @@
     /**
      * Creates the faults of a soak.
      *
-     * @param random draws them
+     * @param seed draws them
      * @param history counts them
      * @param store the store
      * @param configuration the configuration
@@ -53,7 +59,7 @@
      * @param planned whether there are planned work and silences only: no kill, reset or loss
      */
     SoakFaults(
-            Random random,
+            long seed,
             SoakHistory history,
             SoakStore store,
             SoakConfiguration configuration,
@@ -61,7 +67,8 @@
             List<SoakInstance> instances,
             Path folder,
             boolean planned) {
-        mRandom = random;
+        mRandom = new Random(seed);
+        mGarbleRandom = new Random(~seed);
         mHistory = history;
         mStore = store;
         mConfiguration = configuration;
@@ -106,6 +113,7 @@
         long end = System.nanoTime() + seconds * 1_000_000_000L;
         while (System.nanoTime() - end < 0 || mConfiguration.isRefusingBodies()) {
             publish(false);
+            garble();
             Thread.sleep(50 + mRandom.nextInt(200));
             boolean faulty = mRandom.nextInt(mPlanned ? 2 : 3) == 0;
             if (mConfiguration.isRefusingBodies()) {
@@ -118,6 +126,16 @@
         }
     }
 
+    /** Lets one upstream send garbage to each request for up to 1.3 s, about every second. */
+    private void garble() {
+        SoakUpstream upstream = mUpstreams.get(mGarbleRandom.nextInt(mUpstreams.size()));
+        int millis = 300 + mGarbleRandom.nextInt(1_000);
+        if (mGarbleRandom.nextInt(8) == 0) {
+            mHistory.count("garbling upstream");
+            upstream.garble(millis);
+        }
+    }
+
     private void cause() throws Exception {
         SoakUpstream upstream = mUpstreams.get(mRandom.nextInt(mUpstreams.size()));
         int position = mRandom.nextInt(mInstances.size());
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakHistory.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakHistory.java
@@ -181,22 +181,27 @@
         if (!request.id().equals(response.headers().get("x-id"))) {
             violation(request + " has the answer to another request: " + brief(response));
         }
-        String expected = request.id() + request.target();
         if (request.isStream()) {
-            StringBuilder events = new StringBuilder();
-            for (int number = request.last() + 1; number <= SoakUpstream.EVENTS; number++) {
-                events.append(SoakUpstream.event(number, request.target()));
+            SoakEvents.Judgement judgement =
+                    SoakEvents.judge(request, response.body(), response.complete(), mAttempts);
+            if (judgement.violation() != null) {
+                violation(
+                        "%s has a wrong answer, %s: %s; %s"
+                                .formatted(
+                                        request,
+                                        judgement.violation(),
+                                        brief(response),
+                                        mAttempts.describe(request.id(), request.startNanos())));
             }
-            expected = events.toString();
+            return judgement.last();
         }
+        String expected = request.id() + request.target();
         boolean whole = response.body().equals(expected);
         boolean part = !response.complete() && expected.startsWith(response.body());
-        if (!whole && !part || part && !request.isStream() && !excused) {
+        if (!whole && !part || part && !excused) {
             violation(request + " has a wrong answer: " + brief(response));
         }
-        return request.isStream()
-                ? request.last() + response.body().split("id: ", -1).length - 1
-                : 0;
+        return 0;
     }
 
     /** Records the configuration that an answer of an instance shows. */
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakReasons.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakReasons.java
@@ -5,7 +5,8 @@
 
 /**
  * Finds the reason of a broken-off stream and of an answer 502 or 504 in what callers and upstreams
- * saw. Silence of an upstream is none.
+ * saw. Silence of an upstream is none. A garbled attempt is one only for what may run once and for
+ * the maximum number of attempts.
  */
 final class SoakReasons {
     /** Time before the end of the grace period at which requests get a final answer. */
@@ -56,11 +57,17 @@
             return null;
         }
         int losses = mAttempts.losses(request.id(), end).size();
+        int failures = mAttempts.lostOrGarbled(request.id(), end);
         if (request.target().startsWith("/once/")) {
-            return losses > 0 ? "connection lost" : null;
+            if (losses > 0) {
+                return "connection lost";
+            }
+            return failures > 0 ? "answer garbled" : null;
         }
-        if (losses >= TextRows.ATTEMPTS) {
-            return "all attempts lost";
+        if (failures >= TextRows.ATTEMPTS) {
+            return losses >= TextRows.ATTEMPTS
+                    ? "all attempts lost"
+                    : "all attempts garbled or lost";
         }
         return mAttempts.lostProcesses(request.id(), end) >= MAX_LOST_PROCESSES
                 ? "two processes lost"
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakUpstream.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakUpstream.java
@@ -1,8 +1,11 @@
 package org.gentianwalk.gateway.sockets;
 
 import java.io.IOException;
+import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.gentianwalk.core.dispatch.Upstream;
 
 /** An upstream of the fault soak, which may be silent, end and be replaced by another process. */
@@ -12,12 +15,24 @@
     /** Time between two silences, in which what waits is read; without it they would be one. */
     private static final long GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
+    /** Number of requests of which one gets each kind of garbage. */
+    private static final int GARBAGE_INTERVAL = 30;
+
+    /** Number of streams of which one gets a wrong event in addition. */
+    private static final int WRONG_EVENT_INTERVAL = 6;
+
     private final String mId;
     private final String mService;
     private final SoakHistory mHistory;
     private final SoakAttempts mAttempts;
     private final Random mChoices;
+
+    /** Draws garbage apart from the choices, which stay those of earlier seeds. */
+    private final Random mGarbageChoices;
+
     private final boolean mLosing;
+    private final AtomicInteger mRuns = new AtomicInteger();
+    private volatile long mGarblingUntil = System.nanoTime();
     private volatile long mSilentUntil = System.nanoTime() - GAP_NANOS;
     private volatile Running mRunning;
     private long mIncarnation;
@@ -28,16 +43,17 @@
      * @param id its identifier
      * @param service its service
      * @param history records what it does with each request
-     * @param choices draws what it does
+     * @param seed draws what it does
      * @param losing whether it resets connections and breaks streams off
      */
-    SoakUpstream(String id, String service, SoakHistory history, Random choices, boolean losing)
+    SoakUpstream(String id, String service, SoakHistory history, long seed, boolean losing)
             throws IOException {
         mId = id;
         mService = service;
         mHistory = history;
         mAttempts = history.attempts();
-        mChoices = choices;
+        mChoices = new Random(seed);
+        mGarbageChoices = new Random(~seed);
         mLosing = losing;
         mRunning = new Running();
     }
@@ -73,6 +89,31 @@
         }
     }
 
+    /** Lets the process send garbage to each request for a time. */
+    void garble(long millis) {
+        mGarblingUntil = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    /** Returns what is sent beside or in place of an answer, or null for nothing. */
+    private Garbage drawGarbage(boolean stream) {
+        boolean garbling = mGarblingUntil - System.nanoTime() > 0;
+        if (!garbling && stream && draw(WRONG_EVENT_INTERVAL) == 0) {
+            return Garbage.EVENT;
+        }
+        int kind = draw(garbling ? Garbage.values().length : GARBAGE_INTERVAL);
+        return kind < Garbage.values().length ? Garbage.values()[kind] : null;
+    }
+
+    private <T> T draw(T[] values) {
+        return values[draw(values.length)];
+    }
+
+    private int draw(int bound) {
+        synchronized (mGarbageChoices) {
+            return mGarbageChoices.nextInt(bound);
+        }
+    }
+
     /** Ends the process and starts another one at another port. */
     void replace() throws IOException {
         close();
@@ -88,11 +129,26 @@
         running.mServer.close();
     }
 
+    /** What an upstream sends that is not its answer. */
+    private enum Garbage {
+        /** Among the events of a stream; for a call the same as {@link #ANSWER}. */
+        EVENT,
+        /** In place of an answer. */
+        ANSWER,
+        /** After a complete answer. */
+        EXTRA_BYTES
+    }
+
     /** A process, from its start to its end. */
     private final class Running {
         private final String mProcess;
         private final ScriptedUpstream mServer;
         private final SoakRelay mRelay;
+
+        /** When extra bytes followed an answer on a connection. */
+        private final Map<ScriptedUpstream.Connection, Long> mExtraBytesAt =
+                new ConcurrentHashMap<>();
+
         private volatile boolean mEnded;
 
         Running() throws IOException {
@@ -127,6 +183,12 @@
                 return;
             }
             mAttempts.received(request.id(), request.target(), mProcess);
+            Long extraBytesAt = mExtraBytesAt.get(connection);
+            if (extraBytesAt != null
+                    && System.nanoTime() - extraBytesAt < SoakAttempts.UNDER_WAY_NANOS) {
+                // It may have been sent before these bytes arrived at the instance.
+                mAttempts.garbled(request.id(), mProcess, "extra bytes of an earlier answer");
+            }
             int choice;
             int millis;
             synchronized (mChoices) {
@@ -146,42 +208,114 @@
             }
             Thread.sleep(millis);
             awaitSound();
-            if (request.target().startsWith("/stream/")) {
-                stream(request, connection, choice == 6 && mLosing);
+            boolean stream = request.target().startsWith("/stream/");
+            Garbage garbage = drawGarbage(stream);
+            if (garbage == Garbage.ANSWER || garbage == Garbage.EVENT && !stream) {
+                WrongAnswer wrong = draw(WrongAnswer.values());
+                mHistory.count("wrong answers");
+                mAttempts.garbled(request.id(), mProcess, "sent answer " + wrong);
+                connection.write(wrong.bytes(request.id()));
+                return;
+            }
+            if (stream) {
+                boolean breaksOff = choice == 6 && mLosing;
+                if (!stream(request, connection, breaksOff, garbage == Garbage.EVENT)) {
+                    return;
+                }
+            }
+            String end =
+                    stream
+                            ? "0\r\n\r\n"
+                            : ScriptedUpstream.success(request, request.id() + request.target());
+            if (garbage == Garbage.EXTRA_BYTES) {
+                writeWithExtraBytes(request, connection, end);
             } else {
-                connection.write(
-                        ScriptedUpstream.success(request, request.id() + request.target()));
-                mAttempts.answered(request.id(), mProcess);
+                connection.write(end);
+            }
+            mAttempts.answered(request.id(), mProcess);
+        }
+
+        private void writeWithExtraBytes(
+                ScriptedUpstream.Request request,
+                ScriptedUpstream.Connection connection,
+                String end)
+                throws Exception {
+            String extra = draw(ExtraBytes.values()).bytes(request.id());
+            mHistory.count("extra bytes");
+            mExtraBytesAt.put(connection, System.nanoTime());
+            if (draw(2) == 0) {
+                connection.write(end + extra);
+                return;
             }
+            connection.write(end);
+            Thread.sleep(draw(20));
+            mExtraBytesAt.put(connection, System.nanoTime());
+            connection.write(extra);
         }
 
-        private void stream(
+        /**
+         * Streams the events after the last one, without the end of the body if they are sound.
+         *
+         * @param garbles whether something else comes before one of them or at their end
+         * @return whether all events were sent, and nothing else
+         */
+        private boolean stream(
                 ScriptedUpstream.Request request,
                 ScriptedUpstream.Connection connection,
-                boolean breaksOff)
+                boolean breaksOff,
+                boolean garbles)
                 throws Exception {
             connection.write(
                     "HTTP/1.1 200 OK\r\nx-id: %s\r\nx-signed: 1\r\nx-events: 1\r\n"
                                     .formatted(request.id())
                             + "Transfer-Encoding: chunked\r\n\r\n");
+            String run = mProcess + "#" + mRuns.incrementAndGet();
             int last = Integer.parseInt(request.headers().getOrDefault("x-last", "0"));
+            int wrongBefore = garbles ? last + 1 + draw(EVENTS + 1 - last) : 0;
             for (int number = last + 1; number <= EVENTS; number++) {
                 awaitSound();
-                String event = event(number, request.target());
-                connection.write(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+                if (number == wrongBefore && isEndAfterWrongEvent(request, connection, number)) {
+                    return false;
+                }
+                mAttempts.eventSent(request.id(), run, number);
+                writeChunk(connection, SoakEvents.event(number, request.target(), run));
                 if (breaksOff && number == EVENTS / 2) {
                     mAttempts.lost(request.id(), mProcess, "broke off");
                     connection.reset();
-                    return;
+                    return false;
                 }
                 Thread.sleep(15);
             }
-            connection.write("0\r\n\r\n");
-            mAttempts.answered(request.id(), mProcess);
+            if (wrongBefore > EVENTS) {
+                isEndAfterWrongEvent(request, connection, wrongBefore);
+                return false;
+            }
+            if (garbles) {
+                connection.write("0\r\n\r\n");
+            }
+            return !garbles;
         }
-    }
 
-    static String event(int number, String target) {
-        return "id: " + number + "\ndata: " + target + "\n\n";
+        /** Sends a wrong event, and may end the stream after it. */
+        private boolean isEndAfterWrongEvent(
+                ScriptedUpstream.Request request, ScriptedUpstream.Connection connection, int due)
+                throws IOException {
+            WrongEvent wrong = draw(WrongEvent.values());
+            boolean ends = due > EVENTS || draw(3) == 0;
+            mHistory.count("wrong events");
+            String end = ends ? " and the end" : "";
+            mAttempts.garbled(
+                    request.id(), mProcess, "sent %s before %d%s".formatted(wrong, due, end));
+            writeChunk(connection, wrong.bytes(due));
+            if (ends) {
+                connection.write("0\r\n\r\n");
+            }
+            return ends;
+        }
+
+        private static void writeChunk(ScriptedUpstream.Connection connection, String bytes)
+                throws IOException {
+            connection.write(Integer.toHexString(bytes.length()) + "\r\n" + bytes + "\r\n");
+        }
     }
 }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/WrongEventTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/WrongEventTest.java
@@ -27,33 +27,6 @@
     /** Number of runs whose stream has wrong bytes. */
     private int mWrongRuns = 1;
 
-    /** Bytes in place of an event; {@code %d} stands for the number that is due. */
-    private enum Wrong {
-        NO_ID("data: wrong\n\n"),
-        EMPTY_ID("id:\ndata: wrong\n\n"),
-        ID_WITHOUT_COLON("id\ndata: wrong\n\n"),
-        LETTER_AFTER_NUMBER("id: %dx\ndata: wrong\n\n"),
-        NEGATIVE_NUMBER("id: -%d\ndata: wrong\n\n"),
-        TOO_MANY_DIGITS("id: 1234567890123456789012\ndata: wrong\n\n"),
-        NO_FIELD("\u0001\u00fe\u00ff noise\n\n"),
-        TWO_IDS("id: %d\nid: 900\ndata: wrong\n\n"),
-        CARRIAGE_RETURNS("data: wrong\r\r"),
-        NUMBER_WITHOUT_DATA("id: %d\n\n"),
-        NOISE_WITHIN_EVENT("\u0001noise\nid: %d\ndata: wrong\n\n"),
-        ID_WITH_NUL("id: %d\u0000\ndata: wrong\n\n"),
-        SECOND_SPACE("id:  %d\ndata: wrong\n\n");
-
-        private final String mBytes;
-
-        Wrong(String bytes) {
-            mBytes = bytes;
-        }
-
-        String bytes(int due) {
-            return mBytes.formatted(due);
-        }
-    }
-
     @BeforeEach
     void start() throws Exception {
         mFleet = new GatewayFleet();
@@ -84,24 +57,24 @@
     }
 
     @ParameterizedTest
-    @EnumSource(Wrong.class)
-    void aWrongEventWithinAStreamIsNotForwarded(Wrong wrong) throws Exception {
+    @EnumSource(WrongEvent.class)
+    void aWrongEventWithinAStreamIsNotForwarded(WrongEvent wrong) throws Exception {
         script((request, connection) -> stream(request, connection, wrong.bytes(6), 6, false));
 
         assertWholeStream(2);
     }
 
     @ParameterizedTest
-    @EnumSource(Wrong.class)
-    void aWrongEventAtTheStartOfAStreamIsNotForwarded(Wrong wrong) throws Exception {
+    @EnumSource(WrongEvent.class)
+    void aWrongEventAtTheStartOfAStreamIsNotForwarded(WrongEvent wrong) throws Exception {
         script((request, connection) -> stream(request, connection, wrong.bytes(1), 1, false));
 
         assertWholeStream(2);
     }
 
     @ParameterizedTest
-    @EnumSource(Wrong.class)
-    void aWrongEventThatEndsAStreamDoesNotCompleteIt(Wrong wrong) throws Exception {
+    @EnumSource(WrongEvent.class)
+    void aWrongEventThatEndsAStreamDoesNotCompleteIt(WrongEvent wrong) throws Exception {
         script((request, connection) -> stream(request, connection, wrong.bytes(6), 6, true));
 
         assertWholeStream(2);
@@ -222,8 +195,8 @@
 
     /** It can't be continued, so that the caller has to see that it is not complete. */
     @ParameterizedTest
-    @EnumSource(Wrong.class)
-    void aWrongEventBreaksOffANumberedStreamThatCannotBeResumed(Wrong wrong) throws Exception {
+    @EnumSource(WrongEvent.class)
+    void aWrongEventBreaksOffANumberedStreamThatCannotBeResumed(WrongEvent wrong) throws Exception {
         script((request, connection) -> stream(request, connection, wrong.bytes(6), 6, false));
         try (RawCaller caller = mInstance.caller()) {
             RawCaller.Response response = caller.call("/single/a", "single-" + wrong);
