Let the stand-in of the store come back from a copy

The stand-ins of the store had no era, and their versions never went back, so that no test or soak could restore a copy. RowStore states the era with each version (StoreVersion); MemoryStore.copy and restore put an earlier state in force: versions are given out again, the era rises by one, calls that wait fail, and changes since a version that is not there get HistoryLost. SoakStore passes the era and status 410 on to its instances; SoakFaults does not use it yet.

No change of behaviour of the gateway: it reads the era nowhere yet.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/RowStore.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/RowStore.java
@@ -47,9 +47,29 @@
          *
          * @param rows the rows
          * @param more true when further rows follow
-         * @param version version of the store up to which the rows are complete
+         * @param readAt point in the store's history up to which the rows are complete
          */
-        record Rows(List<Row> rows, boolean more, long version) implements Result {}
+        record Rows(List<Row> rows, boolean more, StoreVersion readAt) implements Result {
+            /**
+             * Creates a result of a store that has never come back from a copy.
+             *
+             * @param rows the rows
+             * @param more true when further rows follow
+             * @param version version of the store up to which the rows are complete
+             */
+            public Rows(List<Row> rows, boolean more, long version) {
+                this(rows, more, new StoreVersion(0, version));
+            }
+
+            /**
+             * Returns the version up to which the rows are complete.
+             *
+             * @return the version, within the era of {@link #readAt}
+             */
+            public long version() {
+                return readAt.version();
+            }
+        }
 
         /** The store no longer holds the changes since the requested version. */
         record HistoryLost() implements Result {}
@@ -69,7 +89,30 @@
      * @param key its key
      * @param value its value; empty for a removed row
      * @param removed true when the row was removed
-     * @param version version of the store at which it was written or removed
+     * @param written point in the store's history at which it was written or removed
+     * @param carried true when the store does not hold the row: it was kept from an earlier era,
+     *     since the store came back from a copy that was older
      */
-    record Row(String key, byte[] value, boolean removed, long version) {}
+    record Row(String key, byte[] value, boolean removed, StoreVersion written, boolean carried) {
+        /**
+         * Creates a row of a store that has never come back from a copy.
+         *
+         * @param key its key
+         * @param value its value; empty for a removed row
+         * @param removed true when the row was removed
+         * @param version version of the store at which it was written or removed
+         */
+        public Row(String key, byte[] value, boolean removed, long version) {
+            this(key, value, removed, new StoreVersion(0, version), false);
+        }
+
+        /**
+         * Returns the version at which the row was written or removed.
+         *
+         * @return the version, within the era of {@link #written}
+         */
+        public long version() {
+            return written.version();
+        }
+    }
 }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/MemoryStore.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/MemoryStore.java
@@ -10,29 +10,65 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import org.gentianwalk.gateway.store.RowStore;
+import org.gentianwalk.gateway.store.StoreVersion;
 
 /** A shared store in memory. Each instance gets a client of its own, which may be cut off. */
 public final class MemoryStore {
     private final Map<String, TreeMap<String, RowStore.Row>> mTables = new HashMap<>();
     private final List<Poll> mPolls = new ArrayList<>();
     private long mVersion;
+    private long mEra;
+
+    /** The store as it was at one moment. */
+    public record Copy(Map<String, TreeMap<String, RowStore.Row>> tables, long version) {}
 
     /** A call that waits for changes. */
     private record Poll(
             String table, long since, Client client, CompletableFuture<RowStore.Result> result) {}
 
     public synchronized void put(String table, String key, byte[] value) {
-        write(table, new RowStore.Row(key, value, false, ++mVersion));
+        write(table, new RowStore.Row(key, value, false, next(), false));
     }
 
     public synchronized void remove(String table, String key) {
-        write(table, new RowStore.Row(key, new byte[0], true, ++mVersion));
+        write(table, new RowStore.Row(key, new byte[0], true, next(), false));
     }
 
     public synchronized List<RowStore.Row> rows(String table) {
         return rows(table, "");
     }
 
+    public synchronized StoreVersion version() {
+        return new StoreVersion(mEra, mVersion);
+    }
+
+    /** Returns the rows as they are now, for a later {@link #restore}. */
+    public synchronized Copy copy() {
+        Map<String, TreeMap<String, RowStore.Row>> tables = new HashMap<>();
+        mTables.forEach((table, rows) -> tables.put(table, new TreeMap<>(rows)));
+        return new Copy(tables, mVersion);
+    }
+
+    /**
+     * Comes back from a copy: what was written since is lost, its versions are given out again, the
+     * era rises by one, and the calls that wait fail.
+     */
+    public synchronized void restore(Copy copy) {
+        mTables.clear();
+        copy.tables().forEach((table, rows) -> mTables.put(table, new TreeMap<>(rows)));
+        mVersion = copy.version();
+        mEra++;
+        List<Poll> polls = List.copyOf(mPolls);
+        mPolls.clear();
+        for (Poll poll : polls) {
+            poll.result().complete(new RowStore.Result.Failed("the connection was reset", false));
+        }
+    }
+
+    private StoreVersion next() {
+        return new StoreVersion(mEra, ++mVersion);
+    }
+
     public Client client() {
         return new Client();
     }
@@ -54,11 +90,14 @@
     }
 
     private RowStore.Result changes(String table, long since) {
+        if (since > mVersion) {
+            return new RowStore.Result.HistoryLost();
+        }
         List<RowStore.Row> rows =
                 mTables.getOrDefault(table, new TreeMap<>()).values().stream()
                         .filter(row -> row.version() > since)
                         .toList();
-        return new RowStore.Result.Rows(rows, false, mVersion);
+        return new RowStore.Result.Rows(rows, false, version());
     }
 
     /** The store as one instance sees it. */
@@ -91,7 +130,7 @@
                 return mSilent
                         ? expiring(timeout)
                         : CompletableFuture.completedFuture(
-                                new Result.Rows(rows(table, fromKey), false, mVersion));
+                                new Result.Rows(rows(table, fromKey), false, version()));
             }
         }
 
@@ -105,14 +144,14 @@
                 if (mSilent) {
                     return expiring(wait.plus(timeout));
                 }
-                Result.Rows changes = (Result.Rows) MemoryStore.this.changes(table, since);
-                if (!changes.rows().isEmpty()) {
+                Result changes = MemoryStore.this.changes(table, since);
+                if (!(changes instanceof Result.Rows rows) || !rows.rows().isEmpty()) {
                     return CompletableFuture.completedFuture(changes);
                 }
                 CompletableFuture<Result> result = new CompletableFuture<>();
                 mPolls.add(new Poll(table, since, this, result));
                 return result.completeOnTimeout(
-                        new Result.Rows(List.of(), false, mVersion),
+                        new Result.Rows(List.of(), false, version()),
                         wait.toMillis(),
                         TimeUnit.MILLISECONDS);
             }
@@ -135,7 +174,7 @@
                     put(table, key, value);
                 }
                 return CompletableFuture.completedFuture(
-                        new Result.Rows(List.of(), false, mVersion));
+                        new Result.Rows(List.of(), false, version()));
             }
         }
 
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakStore.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakStore.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import org.gentianwalk.gateway.MemoryStore;
 import org.gentianwalk.gateway.store.RowStore;
+import org.gentianwalk.gateway.store.StoreVersion;
 
 /**
  * The store of the fault soak, on loopback: rows as lines of text. May be silent, slow or refuse.
@@ -82,16 +83,29 @@
             }
             Thread.sleep(100);
         }
+        if (result instanceof RowStore.Result.HistoryLost) {
+            connection.write("HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n");
+            return;
+        }
+        if (result instanceof RowStore.Result.Failed) {
+            connection.reset();
+            return;
+        }
         RowStore.Result.Rows rows = (RowStore.Result.Rows) result;
-        StringBuilder body = new StringBuilder().append(rows.version()).append('\n');
+        StringBuilder body = new StringBuilder();
+        append(body, rows.readAt()).append('\n');
         for (RowStore.Row row : rows.rows()) {
-            body.append(row.key()).append(' ').append(row.version()).append(' ');
+            append(body.append(row.key()).append(' '), row.written()).append(' ');
             body.append(row.removed()).append(' ');
             body.append(Base64.getEncoder().encodeToString(row.value())).append('\n');
         }
         connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
     }
 
+    private static StringBuilder append(StringBuilder body, StoreVersion version) {
+        return body.append(version.era()).append(' ').append(version.version());
+    }
+
     @Override
     public void close() throws IOException {
         mServer.close();
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakStoreClient.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakStoreClient.java
@@ -19,11 +19,13 @@
 import org.gentianwalk.gateway.http.UpstreamRequest;
 import org.gentianwalk.gateway.http.UpstreamSender;
 import org.gentianwalk.gateway.store.RowStore;
+import org.gentianwalk.gateway.store.StoreVersion;
 import org.gentianwalk.gateway.wire.ResponseHead;
 
 /** Client of {@link SoakStore}, over the instance's own upstream connections. */
 final class SoakStoreClient implements RowStore {
     private static final int OK = 200;
+    private static final int GONE = 410;
 
     private final String mAddress;
     private final UpstreamSender mSender;
@@ -103,6 +105,10 @@
 
         @Override
         public void onComplete() {
+            if (mStatus == GONE) {
+                mResult.complete(new Result.HistoryLost());
+                return;
+            }
             if (mStatus != OK) {
                 mResult.complete(new Result.Failed("status " + mStatus, true));
                 return;
@@ -114,11 +120,17 @@
                 rows.add(
                         new Row(
                                 words[0],
-                                Base64.getDecoder().decode(words[3]),
-                                Boolean.parseBoolean(words[2]),
-                                Long.parseLong(words[1])));
+                                Base64.getDecoder().decode(words[4]),
+                                Boolean.parseBoolean(words[3]),
+                                version(words[1], words[2]),
+                                false));
             }
-            mResult.complete(new Result.Rows(rows, false, Long.parseLong(lines[0])));
+            String[] words = lines[0].split(" ", -1);
+            mResult.complete(new Result.Rows(rows, false, version(words[0], words[1])));
+        }
+
+        private static StoreVersion version(String era, String version) {
+            return new StoreVersion(Long.parseLong(era), Long.parseLong(version));
         }
 
         @Override
