Let a stream wait for engines that are missing from the list for a moment

Cause: StreamScheduler.hasPermittedEngine looks at listed engines only. A stream that has reached as many engines as it may, and loses its attempt while just these engines are missing from the list, ended as unknown at once, although the entries may come back; the list may be short of rows for a moment, which an empty list already is allowed for.

Change: an engine counts as expected for 10 s after its entry has left the list, as long as calls keep what is known of such a process. It does not count when it was listed as leaving, has ended, or another process has its place.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineState.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineState.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
 /** State of one process of an engine: its load from all instances and its liveness. */
 final class EngineState implements LossEvidence.ObservedProcess {
@@ -26,6 +27,7 @@
     private long mLastSign;
     private boolean mHasSign;
     private boolean mEnded;
+    private @Nullable Long mUnlistedAt;
     private boolean mNotListening;
     private long mNotListeningAt;
     private boolean mSilent;
@@ -79,6 +81,21 @@
         return mListedAt;
     }
 
+    /** Records that the entry of the process has left the list. */
+    void markUnlisted(long nowNanos) {
+        mUnlistedAt = nowNanos;
+    }
+
+    /** Records that the entry of the process is listed again. */
+    void markListed() {
+        mUnlistedAt = null;
+    }
+
+    /** Returns whether the entry of the process has been away from the list since a time. */
+    boolean isUnlistedSince(long nanos) {
+        return mUnlistedAt != null && mUnlistedAt - nanos <= 0;
+    }
+
     /** Records that a check by this instance found that the engine is silent. */
     void recordSilence(long atNanos) {
         if (!mSilent || atNanos - mSilentAt > 0) {
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineView.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineView.java
@@ -25,6 +25,9 @@
     /** Time for which a failure is reported to other instances. */
     private static final long FAILURE_REPORT_NANOS = Duration.ofMillis(1_500).toNanos();
 
+    /** Time within which an entry that has left the list may come back. */
+    private static final long UNLISTED_NANOS = Duration.ofSeconds(10).toNanos();
+
     /** Maximum number of engines whose state is kept after they were removed from the list. */
     private static final int MAX_UNLISTED = 128;
 
@@ -75,6 +78,7 @@
                 mEngines.put(upstream.id(), new EngineState(upstream, nowNanos));
             } else {
                 unlisted.upstream(upstream);
+                unlisted.markListed();
                 mEngines.put(upstream.id(), unlisted);
             }
             mSuspects.registerEngine(upstream.process(), upstream.zone());
@@ -88,6 +92,7 @@
             if (addresses.containsKey(upstream.address())) {
                 ended.add(engine);
             } else {
+                engine.markUnlisted(nowNanos);
                 mUnlisted.put(upstream.process(), engine);
             }
         }
@@ -100,6 +105,31 @@
         return mEngines.values();
     }
 
+    /**
+     * Returns the listed engines and those whose entries left the list a short time ago without a
+     * sign that their processes have ended.
+     */
+    List<EngineState> expectedEngines(long nowNanos) {
+        List<EngineState> expected = new ArrayList<>(mEngines.values());
+        for (EngineState unlisted : mUnlisted.values()) {
+            if (!unlisted.isUnlistedSince(nowNanos - UNLISTED_NANOS) && !isReplaced(unlisted)) {
+                expected.add(unlisted);
+            }
+        }
+        return expected;
+    }
+
+    /** Returns whether another process is listed in the place of one. */
+    private boolean isReplaced(EngineState engine) {
+        Upstream upstream = engine.upstream();
+        return mEngines.values().stream()
+                .map(EngineState::upstream)
+                .anyMatch(
+                        listed ->
+                                listed.id().equals(upstream.id())
+                                        || listed.address().equals(upstream.address()));
+    }
+
     void recordPeerLoad(String instance, InstanceLoad load, long nowNanos) {
         ReceivedLoad before = mPeers.get(instance);
         if (before != null && before.load().number() >= load.number()) {
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -614,7 +614,7 @@
             if (engine != null) {
                 mWaiting.remove(run);
                 start(run, engine, null, "shortest expected time to first output", nowNanos);
-            } else if (run.mayHaveRun() && !hasPermittedEngine(run)) {
+            } else if (run.mayHaveRun() && !hasPermittedEngine(run, nowNanos)) {
                 finish(run, Ending.UNKNOWN, NO_ENGINE_RETRY, "no further engine is allowed");
             } else if (mEngineView.engines().isEmpty()) {
                 // The list may be empty for a moment only, which must not break off an answer.
@@ -632,10 +632,10 @@
     }
 
     /** Returns whether the list has an engine that the run may reach, or may get one. */
-    private boolean hasPermittedEngine(StreamRun run) {
+    private boolean hasPermittedEngine(StreamRun run, long nowNanos) {
         return mEngineView.engines().isEmpty()
                 || run.mayUseFurtherEngines()
-                || mEngineView.engines().stream()
+                || mEngineView.expectedEngines(nowNanos).stream()
                         .anyMatch(
                                 engine ->
                                         run.mayUse(engine, 0)
