Read again after a second pause of the instance before anything is decided

Cause: while the traffic loop reads after a pause, ControlPlane did not look for a further pause. The timers of the first pause (20 ms and 100 ms) are due at once after the second one, and endPause then made the decisions before anything that arrived in the second pause had been read: ready answers count as late, and sound upstreams as silent.

Change: a tick or an end of the reading that is 200 ms late begins the reading again, at most three times in a row, so that a machine that stalls all the time still gets decisions.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -79,6 +79,12 @@
     /** Time after which decisions are made although the traffic loop has not confirmed to read. */
     private static final Duration MAX_READ_TIME = Duration.ofMillis(100);
 
+    /**
+     * Further pauses within the time to read that begin it again. It bounds the time without
+     * decisions on a machine that stalls all the time.
+     */
+    private static final int MAX_REPEATED_READS = 3;
+
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(1_500);
 
     /** Pause between polls, so that bursts of changes share a call; the store bills each call. */
@@ -126,6 +132,7 @@
     private int mPauses;
 
     private boolean mReadsAfterPause;
+    private int mRepeatedReads;
     private volatile @Nullable RouteTable mTable;
 
     /**
@@ -586,29 +593,42 @@
      */
     private boolean readsAfterPause() {
         Long due = mTickDueAt;
-        if (!mReadsAfterPause && due != null && mTicker.nanos() - due > PAUSED_NANOS) {
-            mReadsAfterPause = true;
-            mPauses++;
-            int pause = mPauses;
-            Runnable second = () -> mTraffic.execute(() -> run("pause", () -> endPause(pause)));
-            Runnable first =
-                    () ->
-                            mControl.schedule(
-                                    mGuard.guarded("pause", second),
-                                    READ_TIME.toMillis(),
-                                    TimeUnit.MILLISECONDS);
-            mControl.schedule(
-                    mGuard.guarded("pause", () -> endPause(pause)),
-                    MAX_READ_TIME.toMillis(),
-                    TimeUnit.MILLISECONDS);
-            mGuard.run("pause", () -> mTraffic.execute(() -> run("pause", first)));
+        if (due == null || mTicker.nanos() - due <= PAUSED_NANOS) {
+            return mReadsAfterPause;
+        }
+        if (mReadsAfterPause && mRepeatedReads >= MAX_REPEATED_READS) {
+            return true;
         }
-        return mReadsAfterPause;
+        mRepeatedReads = mReadsAfterPause ? mRepeatedReads + 1 : 0;
+        mReadsAfterPause = true;
+        // The tick itself may still be queued, and would show the same pause once more.
+        mTickDueAt = mTicker.nanos();
+        startReading();
+        return true;
+    }
+
+    /** Lets the traffic loop read, after which {@link #endPause} follows. */
+    private void startReading() {
+        mPauses++;
+        int pause = mPauses;
+        Runnable second = () -> mTraffic.execute(() -> run("pause", () -> endPause(pause)));
+        Runnable first =
+                () ->
+                        mControl.schedule(
+                                mGuard.guarded("pause", second),
+                                READ_TIME.toMillis(),
+                                TimeUnit.MILLISECONDS);
+        mControl.schedule(
+                mGuard.guarded("pause", () -> endPause(pause)),
+                MAX_READ_TIME.toMillis(),
+                TimeUnit.MILLISECONDS);
+        mGuard.run("pause", () -> mTraffic.execute(() -> run("pause", first)));
     }
 
     /** Makes the decisions that had to wait until the traffic loop has read after a pause. */
     private void endPause(int pause) {
-        if (!mReadsAfterPause || pause != mPauses) {
+        // Another pause may have delayed this, so that what arrived in it has not been read.
+        if (!readsAfterPause() || pause != mPauses) {
             return;
         }
         mReadsAfterPause = false;
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/IsolatedFailureTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/IsolatedFailureTest.java
@@ -85,6 +85,43 @@
         assertThat(fixture.mAnswers).as("answers 50 ms after it").containsExactly("1: 503");
     }
 
+    /** Timers of the first pause ran at once after the second one, before anything was read. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 5, 10, 15, 19, 30, 50, 70, 90})
+    void nothingIsDecidedBeforeTheTrafficLoopHasReadAfterASecondPause(int millisBetween)
+            throws Exception {
+        FailingScheduler sound = new FailingScheduler(EXCEPTION);
+        ControlPlaneFixture fixture =
+                new ControlPlaneFixture(new FailingScheduler(EXCEPTION), sound);
+        Work work = fixture.arrive(1, ControlPlaneFixture.SOUND);
+        fixture.mControl.advance(Duration.ofMillis(300));
+        fixture.mControl.pause(Duration.ofMillis(600));
+        fixture.mControl.advance(Duration.ofMillis(millisBetween));
+        sound.mDecisions.add(refusal(work));
+        fixture.mControl.pause(Duration.ofMillis(600));
+        fixture.mControl.advance(Duration.ofMillis(10));
+        assertThat(fixture.mAnswers).as("answers 10 ms after the second pause").isEmpty();
+        fixture.mControl.advance(Duration.ofMillis(40));
+
+        assertThat(fixture.mAnswers).as("answers 50 ms after it").containsExactly("1: 503");
+    }
+
+    /** On a machine that stalls all the time, each stall would put off all decisions. */
+    @Test
+    void decisionsAreMadeAlthoughTheInstanceIsPausedAgainAndAgain() throws Exception {
+        FailingScheduler sound = new FailingScheduler(EXCEPTION);
+        ControlPlaneFixture fixture =
+                new ControlPlaneFixture(new FailingScheduler(EXCEPTION), sound);
+        Work work = fixture.arrive(1, ControlPlaneFixture.SOUND);
+        sound.mDecisions.add(refusal(work));
+        for (int pauses = 0; pauses < 5; pauses++) {
+            fixture.mControl.pause(Duration.ofMillis(300));
+            fixture.mControl.advance(Duration.ofMillis(10));
+        }
+
+        assertThat(fixture.mAnswers).as("answers after five pauses").containsExactly("1: 503");
+    }
+
     /** A scheduler that failed once was never asked again when the failure was an Error. */
     @Test
     void schedulersAreAdvancedAfterTheFailureOfAnother() throws Exception {
