--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/TableExchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/TableExchange.java
@@ -14,6 +14,7 @@
 import org.gentianwalk.core.membership.MemberView;
 import org.gentianwalk.gateway.store.RowStore.Result;
 import org.gentianwalk.gateway.store.RowStore.Row;
+import org.gentianwalk.gateway.store.StoreVersion;
 import org.gentianwalk.gateway.store.TableAnnouncer;
 import org.gentianwalk.gateway.store.TableChanges;
 import org.gentianwalk.gateway.store.TableFeed;
@@ -105,7 +106,7 @@
     }
 
     @Override
-    public void reportRead(String table, long from, long to, List<Row> rows) {
+    public void reportRead(String table, StoreVersion from, StoreVersion to, List<Row> rows) {
         TableState state = mStates.computeIfAbsent(table, TableState::new);
         state.mAnnouncer.recordRead(from, to);
         state.mReachable = true;
@@ -150,7 +151,10 @@
                                 news == null
                                         ? none
                                         : new Result.Rows(
-                                                decode(news).rows(), false, news.getToVersion()));
+                                                decode(news).rows(),
+                                                false,
+                                                new StoreVersion(
+                                                        news.getEra(), news.getToVersion())));
     }
 
     private void receive(TableNews news) {
@@ -176,6 +180,7 @@
         TableNews.Builder news =
                 TableNews.newBuilder()
                         .setTable(changes.table())
+                        .setEra(changes.era())
                         .setFromVersion(changes.from())
                         .setToVersion(changes.to())
                         .setAvailable(changes.available());
@@ -185,7 +190,9 @@
                             .setKey(row.key())
                             .setValue(ByteString.copyFrom(row.value()))
                             .setRemoved(row.removed())
-                            .setVersion(row.version()));
+                            .setVersion(row.version())
+                            .setEra(row.written().era())
+                            .setCarried(row.carried()));
         }
         return news.build();
     }
@@ -198,10 +205,12 @@
                             row.getKey(),
                             row.getValue().toByteArray(),
                             row.getRemoved(),
-                            row.getVersion()));
+                            new StoreVersion(row.getEra(), row.getVersion()),
+                            row.getCarried()));
         }
         return new TableChanges(
                 news.getTable(),
+                news.getEra(),
                 news.getFromVersion(),
                 news.getToVersion(),
                 rows,
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableAnnouncer.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableAnnouncer.java
@@ -19,6 +19,7 @@
     private static final int MAX_ROW_BYTES = 4_096;
 
     private final String mTable;
+    private long mEra;
     private long mFrom;
     private long mTo;
 
@@ -34,17 +35,23 @@
     /**
      * Records a read of the store.
      *
-     * @param from version from which on all changes were read
-     * @param to version up to which they were read
+     * @param from point from which on all changes were read
+     * @param to point up to which they were read
      */
-    public void recordRead(long from, long to) {
-        if (to < from) {
+    public void recordRead(StoreVersion from, StoreVersion to) {
+        if (to.isBefore(from) || to.era() < mEra) {
             return;
         }
-        if (from > mTo) {
-            mFrom = from;
+        if (to.era() > mEra) {
+            mEra = to.era();
+            mTo = 0;
+            mFrom = 0;
         }
-        mTo = Math.max(mTo, to);
+        long first = from.era() == mEra ? from.version() : 0;
+        if (first > mTo) {
+            mFrom = first;
+        }
+        mTo = Math.max(mTo, to.version());
     }
 
     /** Leaves out the range read so far, whose changes are not announced. */
@@ -62,6 +69,6 @@
         boolean small = rows.stream().allMatch(row -> row.value().length <= MAX_ROW_BYTES);
         long from = small ? mFrom : mTo;
         mFrom = mTo;
-        return new TableChanges(mTable, from, mTo, small ? rows : List.of(), true);
+        return new TableChanges(mTable, mEra, from, mTo, small ? rows : List.of(), true);
     }
 }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableFeed.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableFeed.java
@@ -10,7 +10,8 @@
     TableFeed NONE =
             new TableFeed() {
                 @Override
-                public void reportRead(String table, long from, long to, List<Row> rows) {
+                public void reportRead(
+                        String table, StoreVersion from, StoreVersion to, List<Row> rows) {
                     // There is no other instance.
                 }
 
@@ -35,11 +36,11 @@
      * Reports a successful read from the store.
      *
      * @param table the table
-     * @param from version from which on the rows are complete
-     * @param to version up to which this instance has read the table
-     * @param rows all rows that changed between the two versions; often empty
+     * @param from point from which on the rows are complete
+     * @param to point up to which this instance has read the table
+     * @param rows all rows that changed between the two points; often empty
      */
-    void reportRead(String table, long from, long to, List<Row> rows);
+    void reportRead(String table, StoreVersion from, StoreVersion to, List<Row> rows);
 
     /**
      * Reports that the store can't be reached.
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableMirror.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableMirror.java
@@ -19,11 +19,16 @@
 
     private final Map<String, Row> mRows = new TreeMap<>();
     private final Map<String, Long> mTombstones = new HashMap<>();
-    private long mVersion = -1;
+    private StoreVersion mReadTo = StoreVersion.NONE;
 
     /** Returns the version up to which the copy is complete; -1 before the first complete read. */
     long version() {
-        return mVersion;
+        return mReadTo.version();
+    }
+
+    /** Returns the point in the store's history up to which the copy is complete. */
+    StoreVersion readTo() {
+        return mReadTo;
     }
 
     List<Row> rows() {
@@ -35,7 +40,7 @@
      *
      * @return the changed rows, including removed ones
      */
-    List<Row> applySnapshot(List<Row> rows, long version) {
+    List<Row> applySnapshot(List<Row> rows, StoreVersion version) {
         List<Row> changes = new ArrayList<>();
         Set<String> present = new HashSet<>();
         for (Row row : rows) {
@@ -43,11 +48,11 @@
             apply(row, changes);
         }
         for (Row known : List.copyOf(mRows.values())) {
-            if (!present.contains(known.key()) && known.version() <= version) {
-                apply(new Row(known.key(), new byte[0], true, version), changes);
+            if (!present.contains(known.key()) && known.version() <= version.version()) {
+                apply(new Row(known.key(), new byte[0], true, version.version()), changes);
             }
         }
-        mVersion = Math.max(mVersion, version);
+        mReadTo = new StoreVersion(0, Math.max(mReadTo.version(), version.version()));
         return changes;
     }
 
@@ -56,12 +61,12 @@
      *
      * @return the changes that were not applied before
      */
-    List<Row> applyChanges(List<Row> rows, long version) {
+    List<Row> applyChanges(List<Row> rows, StoreVersion version) {
         List<Row> changes = new ArrayList<>();
         for (Row row : rows) {
             apply(row, changes);
         }
-        mVersion = Math.max(mVersion, version);
+        mReadTo = new StoreVersion(0, Math.max(mReadTo.version(), version.version()));
         return changes;
     }
 
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
@@ -126,10 +126,11 @@
      * @return all rows, or null before the first complete read
      */
     public @Nullable TableChanges snapshot() {
-        long version = mMirror.version();
-        return version < 0
+        StoreVersion to = mMirror.readTo();
+        return to.version() < 0
                 ? null
-                : new TableChanges(mTable, 0, version, mMirror.rows(), !mUnreachable);
+                : new TableChanges(
+                        mTable, to.era(), 0, to.version(), mMirror.rows(), !mUnreachable);
     }
 
     /**
@@ -151,7 +152,7 @@
             return;
         }
         mReaderHeardAt = mTicker.nanos();
-        List<Row> changed = mMirror.applyChanges(changes.rows(), changes.to());
+        List<Row> changed = mMirror.applyChanges(changes.rows(), changes.end());
         if (mUnreachable || !changed.isEmpty()) {
             markReachable();
             pass(() -> mListener.changed(changed));
@@ -209,7 +210,7 @@
     private final class CompleteRead {
         private final int mReadRound;
         private final List<Row> mRows = new ArrayList<>();
-        private long mVersion;
+        private StoreVersion mReadAt = StoreVersion.NONE;
         private long mBytes;
 
         CompleteRead(int round) {
@@ -234,7 +235,7 @@
         private void pageRead(Result.Rows rows) {
             if (mRows.isEmpty()) {
                 // Changes between the reads of two pages may be missing from the first one.
-                mVersion = rows.version();
+                mReadAt = rows.readAt();
             }
             if (!mRows.isEmpty()
                     && !rows.rows().isEmpty()
@@ -255,11 +256,11 @@
                 readFrom(rows.rows().getLast().key() + "\0");
                 return;
             }
-            long from = mMirror.version();
-            List<Row> changed = mMirror.applySnapshot(mRows, mVersion);
+            StoreVersion from = mMirror.readTo();
+            List<Row> changed = mMirror.applySnapshot(mRows, mReadAt);
             endRound();
             pass(() -> mListener.replaced(mMirror.rows()));
-            pass(() -> mFeed.reportRead(mTable, from, mVersion, changed));
+            pass(() -> mFeed.reportRead(mTable, from, mReadAt, changed));
             poll();
         }
 
@@ -285,25 +286,25 @@
             mNextPoll = mControl.schedule(() -> runStep(this::poll), delay, TimeUnit.NANOSECONDS);
             return;
         }
-        long since = mMirror.version();
+        StoreVersion since = mMirror.readTo();
         startRound();
         int round = mRound;
         onResult(
-                mStore.changes(mTable, since, mTimes.longPoll(), mTimes.timeout()),
+                mStore.changes(mTable, since.version(), mTimes.longPoll(), mTimes.timeout()),
                 result -> changesRead(round, since, result));
         scheduleHedge(mTimes.longPoll().plus(HEDGE_DELAY));
     }
 
-    private void changesRead(int round, long since, Result result) {
+    private void changesRead(int round, StoreVersion since, Result result) {
         if (mStopped || round != mRound) {
             return;
         }
         switch (result) {
             case Result.Rows rows -> {
-                List<Row> changed = mMirror.applyChanges(rows.rows(), rows.version());
+                List<Row> changed = mMirror.applyChanges(rows.rows(), rows.readAt());
                 endRound();
                 pass(() -> mListener.changed(changed));
-                pass(() -> mFeed.reportRead(mTable, since, rows.version(), rows.rows()));
+                pass(() -> mFeed.reportRead(mTable, since, rows.readAt(), rows.rows()));
                 Duration pause = rows.rows().isEmpty() ? Duration.ZERO : mTimes.pause();
                 schedule(this::poll, pause);
             }
@@ -385,7 +386,7 @@
         if (mUnreachable
                 && result instanceof Result.Rows rows
                 && rows.version() > mMirror.version()) {
-            mMirror.applySnapshot(rows.rows(), rows.version());
+            mMirror.applySnapshot(rows.rows(), rows.readAt());
             pass(() -> mListener.replaced(mMirror.rows()));
             pass(() -> mListener.unavailable("the table was fetched from another instance"));
         }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherFailureTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherFailureTest.java
@@ -151,7 +151,7 @@
     /** An exchange without peers. */
     private final class Feed implements TableFeed {
         @Override
-        public void reportRead(String table, long from, long to, List<Row> rows) {
+        public void reportRead(String table, StoreVersion from, StoreVersion to, List<Row> rows) {
             call("reportRead");
         }
 
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherTest.java
@@ -560,8 +560,8 @@
         private Result mPulled = new Result.Failed("nobody", false);
 
         @Override
-        public void reportRead(String table, long from, long to, List<Row> rows) {
-            mLog.add(from + " to " + to + " " + keys(rows));
+        public void reportRead(String table, StoreVersion from, StoreVersion to, List<Row> rows) {
+            mLog.add(from.version() + " to " + to.version() + " " + keys(rows));
             mAnnouncer.recordRead(from, to);
         }
 
