Order rows of the store by its era and version

Cause: the platform's store came back from a copy; versions went back and were given out again. The mirror compared versions only, so it ignored rows written after the return; the read position was above the store's versions, which it answered with 410, and the complete read that followed did not change the position, so that the watcher read the table without a pause for as long as it was there.

Change: order is (era, version). A mirror that learns of a later era takes one complete table (of the store, or announced by a reader) and adopts the era: rows of the copy that it knows to be superseded, and rows and deletions that the copy lacks, are carried over, marked as such, until they are written again, or for tables whose writers refresh their rows, until a complete read 6 s later. TableListener.supersedes lets content go before versions. Readers read at once and announce the table; followers adopt it, or read after a random delay of at most 300 ms. An instance that starts on a restored store pulls the table from another one before its first complete read is applied. Messages of an earlier era are ignored.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
@@ -288,6 +288,60 @@
         LOG.warnv("invalid row ignored", new Fields().with("row", what).with("reason", reason));
     }
 
+    /**
+     * Logs that the store has come back from a copy.
+     *
+     * @param table the table whose read or announcement states it
+     * @param before era before
+     * @param now era now
+     * @param versionBefore version up to which the table was known in the era before
+     * @param version version up to which it is known now
+     * @param carried number of rows and removed rows that are newer than those of the copy
+     */
+    public void storeRestored(
+            String table, long before, long now, long versionBefore, long version, int carried) {
+        LOG.warnv(
+                "store restored",
+                new Fields()
+                        .with("table", table)
+                        .with("era_before", before)
+                        .with("era", now)
+                        .with("version_before", versionBefore)
+                        .with("version", version)
+                        .with("carried", carried));
+    }
+
+    /**
+     * Logs that rows of an earlier era, which another instance has announced, are ignored.
+     *
+     * @param table the table
+     * @param era era of the rows
+     * @param current era of this instance
+     * @param rows number of rows
+     */
+    public void earlierEraIgnored(String table, long era, long current, int rows) {
+        LOG.infov(
+                "rows of an earlier era ignored",
+                new Fields()
+                        .with("table", table)
+                        .with("era", era)
+                        .with("era_known", current)
+                        .with("rows", rows));
+    }
+
+    /**
+     * Logs that rows of an earlier era have given way to what the store lists.
+     *
+     * @param table the table
+     * @param version version of the store
+     * @param rows number of rows that had been carried over and were not written again
+     */
+    public void carriedRowsSettled(String table, long version, int rows) {
+        LOG.infov(
+                "rows of an earlier era settled",
+                new Fields().with("table", table).with("version", version).with("rows", rows));
+    }
+
     /**
      * Logs that a dependency of the instance can't be reached.
      *
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
@@ -8,9 +8,11 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.gentianwalk.core.time.Ticker;
+import org.gentianwalk.gateway.log.GatewayLog;
 import org.gentianwalk.gateway.store.RowStore.Result;
 import org.gentianwalk.gateway.store.RowStore.Row;
 import org.gentianwalk.server.guard.FailureGuard;
@@ -23,6 +25,9 @@
  * after a failure of the store, or when it no longer holds the changes. An instance that receives
  * changes from others does not poll the store, and one that can't reach the store fetches the table
  * from another instance.
+ *
+ * <p>When the store comes back from a copy, its era rises. Readers then read the complete table and
+ * announce it; the other instances adopt it from them, or read it after a random delay.
  */
 public final class TableWatcher {
     private static final Duration INITIAL_BACKOFF = Duration.ofMillis(150);
@@ -40,6 +45,19 @@
     /** Maximum number of calls at the same time. */
     private static final int MAX_PENDING = 4;
 
+    /** Longest random delay after which a follower reads the table when the store was restored. */
+    private static final Duration MAX_READ_DELAY = Duration.ofMillis(300);
+
+    /**
+     * Time after which rows that were kept from an earlier era give way to what the store lists.
+     * Upstreams that are alive are listed again within about 2 s of its return; the rest allows for
+     * a store that does not respond to all instances at once.
+     */
+    private static final Duration SETTLE_DELAY = Duration.ofSeconds(6);
+
+    /** Interval at which the read that settles such rows is tried again. */
+    private static final Duration SETTLE_RETRY = Duration.ofSeconds(1);
+
     /**
      * Maximum size of a table that is read, bytes, including {@link #ROW_BYTES} a row. The
      * upstreams of the largest site, 12,000 rows of some 300 bytes, take 5 MB.
@@ -57,10 +75,28 @@
     private final Ticker mTicker;
     private final WatchTimes mTimes;
     private final FailureGuard mGuard;
-    private final TableMirror mMirror = new TableMirror();
+    private final GatewayLog mLog = new GatewayLog();
+    private final TableMirror mMirror;
     private Duration mBackoff = INITIAL_BACKOFF;
     private @Nullable Long mReaderHeardAt;
     private @Nullable ScheduledFuture<?> mNextPoll;
+    private @Nullable ScheduledFuture<?> mDelayedRead;
+
+    /** Time from which on a complete read settles the rows of an earlier era. */
+    private @Nullable Long mSettleAt;
+
+    /** Whether the next complete read settles them. */
+    private boolean mSettles;
+
+    /** Whether the next complete read sets the read position, since the store has no later one. */
+    private boolean mRewinds;
+
+    /** Whether the first complete read waits for the table of another instance. */
+    private boolean mPullsAtStart;
+
+    /** Complete reads since the store last returned changes. */
+    private int mReadsWithoutChanges;
+
     private boolean mUnreachable;
     private boolean mStopped;
 
@@ -99,6 +135,7 @@
         mTicker = ticker;
         mTimes = times;
         mGuard = guard;
+        mMirror = new TableMirror(listener::supersedes, ticker);
     }
 
     /** Starts to watch the table. */
@@ -130,7 +167,7 @@
         return to.version() < 0
                 ? null
                 : new TableChanges(
-                        mTable, to.era(), 0, to.version(), mMirror.rows(), !mUnreachable);
+                        mTable, to.era(), 0, to.version(), mMirror.rowsForPeers(), !mUnreachable);
     }
 
     /**
@@ -139,6 +176,19 @@
      * @param changes the changes
      */
     public void applyPeerChanges(TableChanges changes) {
+        if (changes.available() && mMirror.version() >= 0) {
+            if (changes.era() < mMirror.readTo().era()) {
+                ignoreEarlierEra(changes);
+                return;
+            }
+            if (mMirror.isOutdatedBy(changes.end())) {
+                learnEra(changes);
+                return;
+            }
+        }
+        if (mDelayedRead != null) {
+            return;
+        }
         if (!changes.available() || changes.from() > mMirror.version() || mMirror.version() < 0) {
             // Polls the store itself for the missing changes.
             mReaderHeardAt = null;
@@ -153,12 +203,126 @@
         }
         mReaderHeardAt = mTicker.nanos();
         List<Row> changed = mMirror.applyChanges(changes.rows(), changes.end());
+        scheduleSettlement();
         if (mUnreachable || !changed.isEmpty()) {
             markReachable();
             pass(() -> mListener.changed(changed));
         }
     }
 
+    private void ignoreEarlierEra(TableChanges changes) {
+        if (!changes.rows().isEmpty()) {
+            mLog.earlierEraIgnored(
+                    mTable, changes.era(), mMirror.readTo().era(), changes.rows().size());
+        }
+    }
+
+    /** Adopts a new era from another instance, or reads the table if it announced no rows. */
+    private void learnEra(TableChanges changes) {
+        ScheduledFuture<?> delayed = mDelayedRead;
+        ScheduledFuture<?> nextPoll = mNextPoll;
+        if (changes.isComplete()) {
+            mReaderHeardAt = mTicker.nanos();
+            applySnapshot(changes.rows(), changes.end());
+            markReachable();
+            pass(() -> mListener.replaced(mMirror.rows()));
+            if (delayed != null && delayed.cancel(false)) {
+                mDelayedRead = null;
+                poll();
+            }
+        } else if (delayed != null) {
+            return;
+        } else if (nextPoll != null && nextPoll.cancel(false)) {
+            mNextPoll = null;
+            readAfterRestore();
+        } else {
+            // The pending call may have been sent while the store was silent.
+            joinPending();
+        }
+    }
+
+    /** Applies a complete table, and adopts its era if that is new. */
+    private List<Row> applySnapshot(List<Row> rows, StoreVersion point) {
+        StoreVersion before = mMirror.readTo();
+        boolean adopts = mMirror.isOutdatedBy(point);
+        List<Row> changed = mMirror.applySnapshot(rows, point);
+        if (adopts) {
+            mLog.storeRestored(
+                    mTable,
+                    before.era(),
+                    point.era(),
+                    before.version(),
+                    point.version(),
+                    mMirror.carried());
+            mSettleAt = null;
+            mSettles = false;
+            pass(() -> mListener.restored(point.era()));
+        }
+        scheduleSettlement();
+        return changed;
+    }
+
+    private void scheduleSettlement() {
+        if (mSettleAt != null || !mMirror.holdsCarried() || !mListener.refreshesRows()) {
+            return;
+        }
+        Duration delay = SETTLE_DELAY.plus(randomDelay());
+        long at = mTicker.nanos() + delay.toNanos();
+        mSettleAt = at;
+        schedule(
+                () -> {
+                    Long due = mSettleAt;
+                    ScheduledFuture<?> nextPoll = mNextPoll;
+                    if (due == null || due != at) {
+                        return;
+                    }
+                    if (nextPoll != null && nextPoll.cancel(false)) {
+                        poll();
+                    } else {
+                        joinPending();
+                    }
+                },
+                delay);
+    }
+
+    private boolean isSettlementDue() {
+        Long at = mSettleAt;
+        return at != null && mTicker.nanos() - at >= 0;
+    }
+
+    private static Duration randomDelay() {
+        return Duration.ofNanos(ThreadLocalRandom.current().nextLong(MAX_READ_DELAY.toNanos()));
+    }
+
+    /**
+     * Reads the complete table since the store has no history from the read position on. A reader
+     * does so at once and passes it on; others leave it the time to do so.
+     */
+    private void readAfterRestore() {
+        if (mDelayedRead != null) {
+            return;
+        }
+        startRound();
+        mRewinds = true;
+        Duration delay = mFeed.isReader() ? Duration.ZERO : randomDelay();
+        if (mReadsWithoutChanges > 1) {
+            // The table has just been read, so reading it again at once would be a loop.
+            delay = delay.plus(mReadsWithoutChanges == 2 ? INITIAL_BACKOFF : MAX_BACKOFF);
+        }
+        if (delay.isZero()) {
+            readAll();
+            return;
+        }
+        mDelayedRead =
+                mControl.schedule(
+                        () -> {
+                            mDelayedRead = null;
+                            runStep(this::readAll);
+                        },
+                        delay.toNanos(),
+                        TimeUnit.NANOSECONDS);
+    }
+
     private boolean isFedByReader() {
         return remainingTrustNanos() > 0;
     }
@@ -233,6 +397,14 @@
         }
 
         private void pageRead(Result.Rows rows) {
+            if (rows.readAt().era() < mMirror.readTo().era()) {
+                callFailed("the response is of an earlier era of the store");
+                return;
+            }
+            if (!mRows.isEmpty() && rows.readAt().era() != mReadAt.era()) {
+                callFailed("the store was restored between two pages");
+                return;
+            }
             if (mRows.isEmpty()) {
                 // Changes between the reads of two pages may be missing from the first one.
                 mReadAt = rows.readAt();
@@ -256,11 +428,55 @@
                 readFrom(rows.rows().getLast().key() + "\0");
                 return;
             }
+            if (mMirror.version() >= 0 || mReadAt.era() == 0) {
+                apply();
+            } else if (!mPullsAtStart) {
+                // The copy lacks the latest changes, which other instances may know.
+                mPullsAtStart = true;
+                onResult(mFeed.pull(mTable), this::applyAfterPull);
+            }
+        }
+
+        private void applyAfterPull(Result pulled) {
+            mPullsAtStart = false;
+            if (mStopped || mReadRound != mRound) {
+                return;
+            }
+            if (pulled instanceof Result.Rows rows && rows.readAt().era() <= mReadAt.era()) {
+                applySnapshot(rows.rows(), rows.readAt());
+            }
+            apply();
+        }
+
+        private void apply() {
             StoreVersion from = mMirror.readTo();
-            List<Row> changed = mMirror.applySnapshot(mRows, mReadAt);
+            boolean first = mReadAt.era() > from.era();
+            List<Row> changed = applySnapshot(mRows, mReadAt);
+            if (mRewinds && mReadAt.isBefore(from)) {
+                mMirror.rewind(mReadAt);
+            }
+            mRewinds = false;
+            ScheduledFuture<?> delayed = mDelayedRead;
+            if (delayed != null) {
+                delayed.cancel(false);
+                mDelayedRead = null;
+            }
+            if (mSettles || isSettlementDue()) {
+                mLog.carriedRowsSettled(mTable, mReadAt.version(), mMirror.carried());
+                mMirror.settle(mRows, mReadAt);
+                mSettleAt = null;
+                mSettles = false;
+            }
+            mReadsWithoutChanges++;
             endRound();
             pass(() -> mListener.replaced(mMirror.rows()));
-            pass(() -> mFeed.reportRead(mTable, from, mReadAt, changed));
+            if (first) {
+                StoreVersion start = new StoreVersion(mReadAt.era(), 0);
+                List<Row> rows = mMirror.rowsForPeers();
+                pass(() -> mFeed.reportRead(mTable, start, mReadAt, rows));
+            } else {
+                pass(() -> mFeed.reportRead(mTable, from, mReadAt, changed));
+            }
             poll();
         }
 
@@ -279,6 +495,12 @@
             return;
         }
         mNextPoll = null;
+        if (isSettlementDue()) {
+            mSettleAt = mTicker.nanos() + SETTLE_RETRY.toNanos();
+            mSettles = true;
+            readAll();
+            return;
+        }
         long trust = remainingTrustNanos();
         if (trust > 0) {
             // This instance may become a reader in the meantime.
@@ -299,8 +521,18 @@
         if (mStopped || round != mRound) {
             return;
         }
+        if (since.era() < mMirror.readTo().era()) {
+            // Another instance has announced the new era meanwhile.
+            poll();
+            return;
+        }
         switch (result) {
+            case Result.Rows rows when rows.readAt().era() < since.era() ->
+                    callFailed("the response is of an earlier era of the store");
+            case Result.Rows rows when rows.readAt().era() > since.era() -> readAfterRestore();
+            case Result.Rows rows when rows.version() < since.version() -> readAfterRestore();
             case Result.Rows rows -> {
+                mReadsWithoutChanges = 0;
                 List<Row> changed = mMirror.applyChanges(rows.rows(), rows.readAt());
                 endRound();
                 pass(() -> mListener.changed(changed));
@@ -308,7 +540,7 @@
                 Duration pause = rows.rows().isEmpty() ? Duration.ZERO : mTimes.pause();
                 schedule(this::poll, pause);
             }
-            case Result.HistoryLost lost -> readAll();
+            case Result.HistoryLost lost -> readAfterRestore();
             case Result.Failed failed -> callFailed(failed.reason());
         }
     }
@@ -385,8 +617,8 @@
     private void applyPulled(Result result) {
         if (mUnreachable
                 && result instanceof Result.Rows rows
-                && rows.version() > mMirror.version()) {
-            mMirror.applySnapshot(rows.rows(), rows.readAt());
+                && mMirror.readTo().isBefore(rows.readAt())) {
+            applySnapshot(rows.rows(), rows.readAt());
             pass(() -> mListener.replaced(mMirror.rows()));
             pass(() -> mListener.unavailable("the table was fetched from another instance"));
         }
