Write the rows of an instance again when the store was restored

Cause: a copy may lack the evidence on crashing requests and the registration of an instance, or hold evidence that was removed, and both are written on changes only. Change: when the table of the configuration adopts a new era, each instance writes its evidence again once, after a random delay of at most 1 s, and removes it if it has none any more; an instance that never had any writes nothing. It registers again in the same way. ConfigTableListener holds the highest version of the configuration, and keeps it until the operator writes again. The second registration has no test of its own.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ConfigTableListener.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ConfigTableListener.java
@@ -13,6 +13,7 @@
 final class ConfigTableListener implements TableListener {
     private final RowFormat mRowFormat;
     private final Consumer<RouteTable> mConsumer;
+    private final Runnable mRestored;
     private final GatewayLog mLog;
 
     /**
@@ -20,11 +21,14 @@
      *
      * @param rowFormat parses the rows
      * @param consumer receives each configuration that can be read
+     * @param restored called when the store has come back from a copy
      * @param log logs rows that can't be read, and outages
      */
-    ConfigTableListener(RowFormat rowFormat, Consumer<RouteTable> consumer, GatewayLog log) {
+    ConfigTableListener(
+            RowFormat rowFormat, Consumer<RouteTable> consumer, Runnable restored, GatewayLog log) {
         mRowFormat = rowFormat;
         mConsumer = consumer;
+        mRestored = restored;
         mLog = log;
     }
 
@@ -47,6 +51,31 @@
         }
     }
 
+    /** A configuration never goes back, whatever the store came back from. */
+    @Override
+    public boolean supersedes(Row known, Row other) {
+        if (!known.key().equals(mRowFormat.configKey())) {
+            return false;
+        }
+        try {
+            long version = mRowFormat.parseConfiguration(known.value()).version();
+            return version > mRowFormat.parseConfiguration(other.value()).version();
+        } catch (UnreadableRowException | RuntimeException e) {
+            return false;
+        }
+    }
+
+    /** The operator writes a configuration once. */
+    @Override
+    public boolean refreshesRows() {
+        return false;
+    }
+
+    @Override
+    public void restored(long era) {
+        mRestored.run();
+    }
+
     @Override
     public void unavailable(String reason) {
         mLog.dependencyLost("configuration", reason);
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -173,7 +173,8 @@
                         store,
                         fleet,
                         mRowFormat.configTable(),
-                        new ConfigTableListener(mRowFormat, this::applyConfiguration, mLog),
+                        new ConfigTableListener(
+                                mRowFormat, this::applyConfiguration, this::storeRestored, mLog),
                         WatchTimes.within(mSettings.configChange(), STORE_TIMEOUT, CONFIG_PAUSE)));
         mWatchers.add(
                 createWatcher(
@@ -210,6 +211,18 @@
         scheduleTick();
     }
 
+    /** Writes the rows of this instance again, which the store may have lost. */
+    private void storeRestored() {
+        FleetLink fleet = mFleet;
+        EvidenceKeeper evidence = mEvidence;
+        if (fleet != null) {
+            mGuard.run("registration of the instance", fleet::registerAgain);
+        }
+        if (evidence != null) {
+            mGuard.run("evidence", evidence::writeAgain);
+        }
+    }
+
     private TableWatcher createWatcher(
             RowStore store,
             FleetLink fleet,
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/EvidenceKeeper.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/EvidenceKeeper.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.gentianwalk.core.dispatch.EvidenceAware;
@@ -45,6 +46,9 @@
     /** Minimum interval between two writes; the store bills each of them. */
     private static final long WRITE_NANOS = Duration.ofSeconds(2).toNanos();
 
+    /** Longest random delay of a further write, so that instances do not write together. */
+    private static final Duration MAX_DELAY = Duration.ofSeconds(1);
+
     /** Maximum size of the entries of a row; the store accepts rows of 64 KiB. */
     private static final int MAX_ROW_BYTES = 48 << 10;
 
@@ -79,6 +83,10 @@
     private boolean mAsked;
     private boolean mRead;
     private boolean mWriting;
+
+    /** Whether the store may lack what was written, or hold what was removed. */
+    private boolean mOutdated;
+
     private long mCheckedAt;
     private @Nullable Long mWrittenAt;
 
@@ -292,6 +300,20 @@
                 .toList();
     }
 
+    /**
+     * Writes the evidence again after a random delay, since the store came back from a copy that
+     * may lack it; removes it if there is none any more. An instance that never had a row writes
+     * none.
+     */
+    void writeAgain() {
+        if (mWrittenAt == null && mWritten.isEmpty()) {
+            return;
+        }
+        long delay = ThreadLocalRandom.current().nextLong(MAX_DELAY.toNanos());
+        mControl.schedule(
+                mGuard.guarded("evidence", () -> mOutdated = true), delay, TimeUnit.NANOSECONDS);
+    }
+
     /** Writes the evidence if it has changed. Must be called periodically. */
     void advance() {
         long now = mTicker.nanos();
@@ -311,11 +333,13 @@
                     }
                 });
         boolean early = mWrittenAt != null && now - mWrittenAt < WRITE_NANOS;
-        if (marks.equals(mWritten) || early) {
+        if (marks.equals(mWritten) && !mOutdated || early) {
             return;
         }
         mWrittenAt = now;
         byte[] row = marks.isEmpty() ? null : encode(evidence);
+        boolean again = mOutdated;
+        mOutdated = false;
         CompletionStage<Result> write = mStore.write(TABLE, mInstance, row, STORE_TIMEOUT);
         // Not before the call, since no evidence would be written any more after a failure of it.
         mWriting = true;
@@ -324,6 +348,8 @@
                     mWriting = false;
                     if (failure == null && result instanceof Result.Rows) {
                         mWritten = marks;
+                    } else {
+                        mOutdated |= again;
                     }
                 },
                 mControl);
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/FleetLink.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/FleetLink.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.gentianwalk.core.membership.Member;
 import org.gentianwalk.core.membership.MemberView;
@@ -45,6 +46,9 @@
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(1_500);
     private static final Duration RETRY = Duration.ofMillis(500);
 
+    /** Longest random delay of a further registration, so that instances do not write together. */
+    private static final Duration MAX_DELAY = Duration.ofSeconds(1);
+
     private final RowStore mStore;
     private final ScheduledExecutorService mControl;
     private final GatewayLog mLog;
@@ -55,6 +59,7 @@
     private final LoadExchange mLoads;
     private final TableExchange mTables;
     private volatile int mInstances = 1;
+    private volatile boolean mLeaving;
 
     /**
      * Creates a link that is not connected.
@@ -157,8 +162,27 @@
         return mInstances;
     }
 
+    /**
+     * Registers this instance again after a random delay, since the store came back from a copy
+     * that may lack its row, or has it although the instance is leaving.
+     */
+    public void registerAgain() {
+        long delay = ThreadLocalRandom.current().nextLong(MAX_DELAY.toNanos());
+        mControl.schedule(
+                () -> {
+                    if (mLeaving) {
+                        mStore.write(TABLE, mSelf.id(), null, STORE_TIMEOUT);
+                    } else {
+                        retryAfterFailure(this::announce);
+                    }
+                },
+                delay,
+                TimeUnit.NANOSECONDS);
+    }
+
     /** Announces to the others that this instance is about to stop, and removes its row. */
     public void leave() {
+        mLeaving = true;
         mGuard.run("membership", mDriver::leave);
         mStore.write(TABLE, mSelf.id(), null, STORE_TIMEOUT);
     }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/control/EvidenceKeeperTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/control/EvidenceKeeperTest.java
@@ -101,6 +101,76 @@
         assertThat(restarted.mClient.writes()).isZero();
     }
 
+    /** A copy of the store may lack the row, and each write is billed. */
+    @Test
+    void evidenceIsWrittenAgainOnceAfterTheStoreWasRestored() {
+        MemoryStore.Copy copy = mStore.copy();
+        Life life = new Life("i1");
+        Life withoutEvidence = new Life("i2");
+        life.mScheduler.mEvidence = List.of(suspect(1, 0, 7));
+        life.run(3 * SECOND_MILLIS);
+        mStore.restore(copy);
+        life.mKeeper.writeAgain();
+        withoutEvidence.mKeeper.writeAgain();
+        life.run(10 * SECOND_MILLIS);
+        withoutEvidence.run(10 * SECOND_MILLIS);
+
+        assertThat(mStore.rows(EvidenceKeeper.TABLE)).hasSize(1);
+        assertThat(life.mClient.writes()).isEqualTo(2);
+        assertThat(withoutEvidence.mClient.writes()).isZero();
+    }
+
+    /** A copy may hold a row that has been removed, which would stop sound requests. */
+    @Test
+    void evidenceThatWasDroppedIsRemovedAgainAfterTheStoreWasRestored() {
+        Life life = new Life("i1");
+        life.mScheduler.mEvidence = List.of(suspect(1, 0, 7));
+        life.run(3 * SECOND_MILLIS);
+        MemoryStore.Copy copy = mStore.copy();
+        life.mScheduler.mEvidence = List.of();
+        life.run(3 * SECOND_MILLIS);
+        mStore.restore(copy);
+        life.mClient.rejecting(true);
+        life.mKeeper.writeAgain();
+        life.run(3 * SECOND_MILLIS);
+        life.mClient.rejecting(false);
+        life.run(10 * SECOND_MILLIS);
+
+        assertThat(mStore.rows(EvidenceKeeper.TABLE)).isEmpty();
+    }
+
+    /** All instances learn of the return at the same moment. */
+    @Test
+    void instancesDoNotWriteTheirEvidenceTogether() {
+        MemoryStore.Copy copy = mStore.copy();
+        List<Life> lives = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            Life life = new Life("i" + i);
+            life.mScheduler.mEvidence = List.of(suspect(i, 0, 7));
+            lives.add(life);
+        }
+        for (int at = 0; at < 60; at++) {
+            mControl.advance(Duration.ofMillis(50));
+            lives.forEach(life -> life.mKeeper.advance());
+            mControl.runAll();
+        }
+        mStore.restore(copy);
+        lives.forEach(life -> life.mKeeper.writeAgain());
+        int most = 0;
+        int before = 0;
+        for (int at = 0; at < 60; at++) {
+            mControl.advance(Duration.ofMillis(50));
+            lives.forEach(life -> life.mKeeper.advance());
+            mControl.runAll();
+            int written = mStore.rows(EvidenceKeeper.TABLE).size();
+            most = Math.max(most, written - before);
+            before = written;
+        }
+
+        assertThat(before).isEqualTo(40);
+        assertThat(most).as("writes in 50 ms").isLessThan(40);
+    }
+
     /** A record that stays would stop sound requests for ever. */
     @Test
     void theRowIsRemovedOnceTheEvidenceIsDropped() {
