Ask listed instances for the tables when an instance starts

Cause: TableExchange.pull asks a member, and members are known only once probes have been answered; at the start there was none, so that an instance that started on a restored store served from the copy. Change: until then it waits for the store's list of instances, at most 700 ms, and asks three of them at the same time. An announcement has at most 256 KiB; a larger table is read by each instance. Evidence: RestoredStoreFleetTest on sockets; the start failed before (404 on the route that the other instance knew), 3 of 3 now; RestoredStoreTest 21 of 21. The bound of 256 KiB has no test yet.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/FleetLink.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/FleetLink.java
@@ -32,6 +32,7 @@
 import org.gentianwalk.server.mesh.MeshException;
 import org.gentianwalk.server.mesh.MeshNode;
 import org.gentianwalk.server.mesh.MeshOptions;
+import org.gentianwalk.server.mesh.MeshPeer;
 import org.gentianwalk.server.mesh.MeshSender;
 import org.jspecify.annotations.Nullable;
 
@@ -227,9 +228,7 @@
                 .whenCompleteAsync(
                         (result, failure) -> {
                             if (failure == null && result instanceof Result.Rows rows) {
-                                mGuard.run(
-                                        "list of instances",
-                                        () -> mDriver.applyInstanceList(parseEntries(rows.rows())));
+                                mGuard.run("list of instances", () -> applyList(rows.rows()));
                             } else {
                                 scheduleRetry(this::readInstances);
                             }
@@ -237,6 +236,13 @@
                         mControl);
     }
 
+    private void applyList(List<Row> rows) {
+        List<InstanceList.Entry> entries = parseEntries(rows);
+        mTables.setListed(
+                entries.stream().map(entry -> new MeshPeer(entry.id(), entry.address())).toList());
+        mDriver.applyInstanceList(entries);
+    }
+
     private void scheduleRetry(Runnable task) {
         mControl.schedule(() -> retryAfterFailure(task), RETRY.toMillis(), TimeUnit.MILLISECONDS);
     }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/TableExchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/TableExchange.java
@@ -3,13 +3,15 @@
 import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
-import java.util.random.RandomGenerator;
+import java.util.concurrent.TimeUnit;
 import org.gentianwalk.core.membership.Member;
 import org.gentianwalk.core.membership.MemberView;
 import org.gentianwalk.gateway.store.RowStore.Result;
@@ -39,17 +41,26 @@
 
     private static final Duration PULL_TIMEOUT = Duration.ofMillis(700);
 
+    /** Instances that are asked for a table at the same time while none is known to be alive. */
+    private static final int MAX_ASKED = 3;
+
+    private static final Result NO_TABLE =
+            new Result.Failed("no other instance has the table", false);
+
     private final MeshNode mMesh;
     private final Member mSelf;
     private final Executor mControl;
-    private final RandomGenerator mRandom;
+    private final Random mRandom;
     private final Map<String, TableWatcher> mWatchers = new HashMap<>();
     private final Map<String, TableState> mStates = new HashMap<>();
     private List<Member> mRegionMembers = List.of();
     private List<Member> mOtherMembers = List.of();
     private boolean mReader = true;
 
-    TableExchange(MeshNode mesh, Member self, Executor control, RandomGenerator random) {
+    /** The instances that the store lists, which may have ended; open until they are read. */
+    private final CompletableFuture<List<MeshPeer>> mListed = new CompletableFuture<>();
+
+    TableExchange(MeshNode mesh, Member self, Executor control, Random random) {
         mMesh = mesh;
         mSelf = self;
         mControl = control;
@@ -135,13 +146,46 @@
 
     @Override
     public CompletionStage<Result> pull(String table) {
-        Result none = new Result.Failed("no other instance has the table", false);
-        if (mOtherMembers.isEmpty()) {
-            return CompletableFuture.completedFuture(none);
+        if (!mOtherMembers.isEmpty()) {
+            Member from = mOtherMembers.get(mRandom.nextInt(mOtherMembers.size()));
+            return pull(MeshPeer.of(from), table);
+        }
+        // Members are known only some time after the start.
+        return mListed.copy()
+                .completeOnTimeout(List.of(), PULL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .thenComposeAsync(listed -> pullAny(listed, table), mControl);
+    }
+
+    /** Sets the instances that the store lists, when they are first read. */
+    void setListed(List<MeshPeer> listed) {
+        mListed.complete(List.copyOf(listed));
+    }
+
+    /** Returns the first table of some of the instances, or a failure if none has it. */
+    private CompletionStage<Result> pullAny(List<MeshPeer> listed, String table) {
+        List<MeshPeer> peers = new ArrayList<>(listed);
+        Collections.shuffle(peers, mRandom);
+        List<MeshPeer> asked = peers.subList(0, Math.min(MAX_ASKED, peers.size()));
+        CompletableFuture<Result> first = new CompletableFuture<>();
+        CompletableFuture<?>[] calls = new CompletableFuture<?>[asked.size()];
+        for (int i = 0; i < calls.length; i++) {
+            calls[i] =
+                    pull(asked.get(i), table)
+                            .thenAccept(
+                                    result -> {
+                                        if (result instanceof Result.Rows) {
+                                            first.complete(result);
+                                        }
+                                    })
+                            .toCompletableFuture();
         }
-        Member from = mOtherMembers.get(mRandom.nextInt(mOtherMembers.size()));
+        CompletableFuture.allOf(calls).whenComplete((done, failure) -> first.complete(NO_TABLE));
+        return first;
+    }
+
+    private CompletionStage<Result> pull(MeshPeer from, String table) {
         return mMesh.request(
-                        MeshPeer.of(from),
+                        from,
                         MessageType.TABLE_PULL,
                         TablePull.newBuilder().setTable(table).build(),
                         TableNews.parser(),
@@ -149,7 +193,7 @@
                 .handle(
                         (news, failure) ->
                                 news == null
-                                        ? none
+                                        ? NO_TABLE
                                         : new Result.Rows(
                                                 decode(news).rows(),
                                                 false,
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableAnnouncer.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableAnnouncer.java
@@ -18,6 +18,9 @@
      */
     private static final int MAX_ROW_BYTES = 4_096;
 
+    /** Size of all rows of an announcement, bytes; a whole table that is larger is read as well. */
+    private static final int MAX_ANNOUNCED_BYTES = 256 << 10;
+
     private final String mTable;
     private long mEra;
     private long mFrom;
@@ -66,7 +69,10 @@
      * @return the announcement
      */
     public TableChanges announce(List<Row> rows) {
-        boolean small = rows.stream().allMatch(row -> row.value().length <= MAX_ROW_BYTES);
+        long bytes = rows.stream().mapToLong(row -> row.key().length() + row.value().length).sum();
+        boolean small =
+                bytes <= MAX_ANNOUNCED_BYTES
+                        && rows.stream().allMatch(row -> row.value().length <= MAX_ROW_BYTES);
         long from = small ? mFrom : mTo;
         mFrom = mTo;
         return new TableChanges(mTable, mEra, from, mTo, small ? rows : List.of(), true);
