--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/TableExchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/TableExchange.java
@@ -3,17 +3,20 @@
 import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
-import java.util.random.RandomGenerator;
+import java.util.concurrent.TimeUnit;
 import org.gentianwalk.core.membership.Member;
 import org.gentianwalk.core.membership.MemberView;
 import org.gentianwalk.gateway.store.RowStore.Result;
 import org.gentianwalk.gateway.store.RowStore.Row;
+import org.gentianwalk.gateway.store.StoreVersion;
 import org.gentianwalk.gateway.store.TableAnnouncer;
 import org.gentianwalk.gateway.store.TableChanges;
 import org.gentianwalk.gateway.store.TableFeed;
@@ -38,17 +41,26 @@
 
     private static final Duration PULL_TIMEOUT = Duration.ofMillis(700);
 
+    /** Instances that are asked for a table at the same time while none is known to be alive. */
+    private static final int MAX_ASKED = 3;
+
+    private static final Result NO_TABLE =
+            new Result.Failed("no other instance has the table", false);
+
     private final MeshNode mMesh;
     private final Member mSelf;
     private final Executor mControl;
-    private final RandomGenerator mRandom;
+    private final Random mRandom;
     private final Map<String, TableWatcher> mWatchers = new HashMap<>();
     private final Map<String, TableState> mStates = new HashMap<>();
     private List<Member> mRegionMembers = List.of();
     private List<Member> mOtherMembers = List.of();
     private boolean mReader = true;
 
-    TableExchange(MeshNode mesh, Member self, Executor control, RandomGenerator random) {
+    /** The instances that the store lists, which may have ended; open until they are read. */
+    private final CompletableFuture<List<MeshPeer>> mListed = new CompletableFuture<>();
+
+    TableExchange(MeshNode mesh, Member self, Executor control, Random random) {
         mMesh = mesh;
         mSelf = self;
         mControl = control;
@@ -105,7 +117,7 @@
     }
 
     @Override
-    public void reportRead(String table, long from, long to, List<Row> rows) {
+    public void reportRead(String table, StoreVersion from, StoreVersion to, List<Row> rows) {
         TableState state = mStates.computeIfAbsent(table, TableState::new);
         state.mAnnouncer.recordRead(from, to);
         state.mReachable = true;
@@ -134,13 +146,46 @@
 
     @Override
     public CompletionStage<Result> pull(String table) {
-        Result none = new Result.Failed("no other instance has the table", false);
-        if (mOtherMembers.isEmpty()) {
-            return CompletableFuture.completedFuture(none);
+        if (!mOtherMembers.isEmpty()) {
+            Member from = mOtherMembers.get(mRandom.nextInt(mOtherMembers.size()));
+            return pull(MeshPeer.of(from), table);
+        }
+        // Members are known only some time after the start.
+        return mListed.copy()
+                .completeOnTimeout(List.of(), PULL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .thenComposeAsync(listed -> pullAny(listed, table), mControl);
+    }
+
+    /** Sets the instances that the store lists, when they are first read. */
+    void setListed(List<MeshPeer> listed) {
+        mListed.complete(List.copyOf(listed));
+    }
+
+    /** Returns the first table of some of the instances, or a failure if none has it. */
+    private CompletionStage<Result> pullAny(List<MeshPeer> listed, String table) {
+        List<MeshPeer> peers = new ArrayList<>(listed);
+        Collections.shuffle(peers, mRandom);
+        List<MeshPeer> asked = peers.subList(0, Math.min(MAX_ASKED, peers.size()));
+        CompletableFuture<Result> first = new CompletableFuture<>();
+        CompletableFuture<?>[] calls = new CompletableFuture<?>[asked.size()];
+        for (int i = 0; i < calls.length; i++) {
+            calls[i] =
+                    pull(asked.get(i), table)
+                            .thenAccept(
+                                    result -> {
+                                        if (result instanceof Result.Rows) {
+                                            first.complete(result);
+                                        }
+                                    })
+                            .toCompletableFuture();
         }
-        Member from = mOtherMembers.get(mRandom.nextInt(mOtherMembers.size()));
+        CompletableFuture.allOf(calls).whenComplete((done, failure) -> first.complete(NO_TABLE));
+        return first;
+    }
+
+    private CompletionStage<Result> pull(MeshPeer from, String table) {
         return mMesh.request(
-                        MeshPeer.of(from),
+                        from,
                         MessageType.TABLE_PULL,
                         TablePull.newBuilder().setTable(table).build(),
                         TableNews.parser(),
@@ -148,9 +193,12 @@
                 .handle(
                         (news, failure) ->
                                 news == null
-                                        ? none
+                                        ? NO_TABLE
                                         : new Result.Rows(
-                                                decode(news).rows(), false, news.getToVersion()));
+                                                decode(news).rows(),
+                                                false,
+                                                new StoreVersion(
+                                                        news.getEra(), news.getToVersion())));
     }
 
     private void receive(TableNews news) {
@@ -176,6 +224,7 @@
         TableNews.Builder news =
                 TableNews.newBuilder()
                         .setTable(changes.table())
+                        .setEra(changes.era())
                         .setFromVersion(changes.from())
                         .setToVersion(changes.to())
                         .setAvailable(changes.available());
@@ -185,7 +234,9 @@
                             .setKey(row.key())
                             .setValue(ByteString.copyFrom(row.value()))
                             .setRemoved(row.removed())
-                            .setVersion(row.version()));
+                            .setVersion(row.version())
+                            .setEra(row.written().era())
+                            .setCarried(row.carried()));
         }
         return news.build();
     }
@@ -198,10 +249,12 @@
                             row.getKey(),
                             row.getValue().toByteArray(),
                             row.getRemoved(),
-                            row.getVersion()));
+                            new StoreVersion(row.getEra(), row.getVersion()),
+                            row.getCarried()));
         }
         return new TableChanges(
                 news.getTable(),
+                news.getEra(),
                 news.getFromVersion(),
                 news.getToVersion(),
                 rows,
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableAnnouncer.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableAnnouncer.java
@@ -18,7 +18,11 @@
      */
     private static final int MAX_ROW_BYTES = 4_096;
 
+    /** Size of all rows of an announcement, bytes; a whole table that is larger is read as well. */
+    private static final int MAX_ANNOUNCED_BYTES = 256 << 10;
+
     private final String mTable;
+    private long mEra;
     private long mFrom;
     private long mTo;
 
@@ -34,17 +38,23 @@
     /**
      * Records a read of the store.
      *
-     * @param from version from which on all changes were read
-     * @param to version up to which they were read
+     * @param from point from which on all changes were read
+     * @param to point up to which they were read
      */
-    public void recordRead(long from, long to) {
-        if (to < from) {
+    public void recordRead(StoreVersion from, StoreVersion to) {
+        if (to.isBefore(from) || to.era() < mEra) {
             return;
         }
-        if (from > mTo) {
-            mFrom = from;
+        if (to.era() > mEra) {
+            mEra = to.era();
+            mTo = 0;
+            mFrom = 0;
+        }
+        long first = from.era() == mEra ? from.version() : 0;
+        if (first > mTo) {
+            mFrom = first;
         }
-        mTo = Math.max(mTo, to);
+        mTo = Math.max(mTo, to.version());
     }
 
     /** Leaves out the range read so far, whose changes are not announced. */
@@ -59,9 +69,12 @@
      * @return the announcement
      */
     public TableChanges announce(List<Row> rows) {
-        boolean small = rows.stream().allMatch(row -> row.value().length <= MAX_ROW_BYTES);
+        long bytes = rows.stream().mapToLong(row -> row.key().length() + row.value().length).sum();
+        boolean small =
+                bytes <= MAX_ANNOUNCED_BYTES
+                        && rows.stream().allMatch(row -> row.value().length <= MAX_ROW_BYTES);
         long from = small ? mFrom : mTo;
         mFrom = mTo;
-        return new TableChanges(mTable, from, mTo, small ? rows : List.of(), true);
+        return new TableChanges(mTable, mEra, from, mTo, small ? rows : List.of(), true);
     }
 }
