Let the store of the fault soak come back from a copy

Change: SoakFaults takes copies of the store each round and restores one of up to 4 s, once or twice in a row, beside all other faults, in both profiles. In half of the cases up to 200 versions of another table are lost as well, so that the versions that follow stay below the lost ones for seconds. The operator writes its latest configuration again within 1.6 s, the upstreams their entries within 1.7 s. SoakProbe checks that a configuration that was confirmed after the return is in force at all instances after 2.5 s, SoakHistory that no instance goes back or starts with an older configuration of the copy than the others have, and that each 401, 404 and admission is that of a version which may have been in force.

--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/FaultSoakTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/FaultSoakTest.java
@@ -3,10 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.junit.jupiter.api.Assumptions.assumeTrue;
 
-import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -55,9 +53,6 @@
     private static final int INSTANCES = Integer.getInteger("gentianwalk.faultsoak.instances", 3);
     private static final int CALLERS_PER_INSTANCE = 6;
 
-    /** Time within which a configuration must be in force (docs/platform.md). */
-    private static final Duration IN_FORCE = Duration.ofMillis(2_500);
-
     @Test
     void everyRequestThatWasReadEndsAsItMay() throws Exception {
         assumeTrue(PROFILE.equals(MIXED) || PROFILE.isEmpty());
@@ -93,7 +88,8 @@
                             "versions shown",
                             "wrong events",
                             "wrong answers",
-                            "extra bytes");
+                            "extra bytes",
+                            "store restored");
         }
         assertThat(failed).isEmpty();
         assertThat(undecided).as("only requests ended without a decision").isEmpty();
@@ -132,6 +128,8 @@
                                 folder,
                                 planned);
                 ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+            SoakProbe probe = new SoakProbe(history, store, instances);
+            faults.probe(probe);
             for (int i = 0; i < 9; i++) {
                 String service =
                         SoakConfiguration.SERVICES.get(i % SoakConfiguration.SERVICES.size());
@@ -149,12 +147,12 @@
                         threads.submit(
                                 new SoakCaller(name, history, instances, choices, running::get)));
             }
-            Future<?> prober = threads.submit(() -> probe(running, history, instances));
+            Future<?> prober = threads.submit(() -> probe.run(running::get));
             try {
                 faults.run(SECONDS);
                 faults.heal();
                 faults.publish(true);
-                checkInForce(history, instances, configuration.version());
+                probe.checkInForce(configuration.version());
             } finally {
                 running.set(false);
             }
@@ -187,47 +185,4 @@
             instances.add(start.get());
         }
     }
-
-    /** Asks all instances for their configuration, which must not become older. */
-    private static Void probe(
-            AtomicBoolean running, SoakHistory history, List<SoakInstance> instances)
-            throws Exception {
-        while (running.get()) {
-            for (SoakInstance instance : instances) {
-                shownVersion(history, instance);
-            }
-            Thread.sleep(50);
-        }
-        return null;
-    }
-
-    private static long shownVersion(SoakHistory history, SoakInstance instance) {
-        synchronized (instance) {
-            try (RawCaller caller = instance.caller()) {
-                long sentAt = System.nanoTime();
-                RawCaller.Response response =
-                        caller.call("/version/", "probe-" + System.nanoTime(), "x-key: probe");
-                return response == null ? 0 : history.shown(instance, response, sentAt);
-            } catch (IOException e) {
-                return 0;
-            }
-        }
-    }
-
-    private static void checkInForce(
-            SoakHistory history, List<SoakInstance> instances, long version) throws Exception {
-        long end = System.nanoTime() + IN_FORCE.toNanos();
-        for (SoakInstance instance : instances) {
-            long shown = shownVersion(history, instance);
-            while (shown < version && System.nanoTime() - end < 0) {
-                Thread.sleep(20);
-                shown = shownVersion(history, instance);
-            }
-            if (shown < version) {
-                history.violation(
-                        "%s shows configuration %d instead of %d after %s"
-                                .formatted(instance.name(), shown, version, IN_FORCE));
-            }
-        }
-    }
 }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakCaller.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakCaller.java
@@ -84,7 +84,7 @@
         long start = System.nanoTime();
         long idle = idleSince == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(start - idleSince);
         SoakHistory.Request request =
-                new SoakHistory.Request(id, target, last, limit, instance, start, idle);
+                new SoakHistory.Request(id, target, key, last, limit, instance, start, idle);
         RawCaller.Response response;
         try {
             response =
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakConfiguration.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakConfiguration.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 
@@ -14,10 +15,28 @@
 
     private final Random mRandom;
     private final Map<Long, Map<String, Integer>> mTimeouts = new ConcurrentHashMap<>();
+    private final Map<Long, Admissions> mAdmissions = new ConcurrentHashMap<>();
     private final ConcurrentSkipListMap<Long, Long> mPublished = new ConcurrentSkipListMap<>();
     private volatile long mVersion;
     private volatile boolean mRefusingBodies;
 
+    /**
+     * What a version admits.
+     *
+     * @param routes its routes, and whether each needs no key
+     * @param keys its keys
+     */
+    private record Admissions(Map<String, Boolean> routes, Set<String> keys) {
+        /** Returns the status of a refusal for a missing route or key, or 200. */
+        int status(String route, String key) {
+            Boolean anonymous = routes.get(route);
+            if (anonymous == null) {
+                return 404;
+            }
+            return anonymous || keys.contains(key) ? 200 : 401;
+        }
+    }
+
     SoakConfiguration(Random random) {
         mRandom = random;
     }
@@ -54,6 +73,21 @@
         return timeouts;
     }
 
+    /**
+     * Returns whether a version of a range admits a request (status 200), or refuses it with a
+     * status, 404 for a missing route or 401 for a missing key.
+     */
+    boolean isPossible(int status, String route, String key, long from, long to) {
+        for (long version = Math.max(1, from); version <= to; version++) {
+            Admissions admissions = mAdmissions.get(version);
+            // The latest one may not be complete, and is not published then.
+            if (admissions != null && admissions.status(route, key) == status) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Returns the next version.
      *
@@ -64,6 +98,8 @@
         long number = mVersion + 1;
         mPublished.put(number, System.nanoTime());
         mTimeouts.put(number, new ConcurrentHashMap<>());
+        mAdmissions.put(
+                number, new Admissions(new ConcurrentHashMap<>(), ConcurrentHashMap.newKeySet()));
         mVersion = number;
         StringBuilder text = new StringBuilder("version " + number + "\n");
         boolean strict = !sound && mRandom.nextInt(6) == 0;
@@ -85,6 +121,7 @@
         }
         for (int key = 0; key < 3; key++) {
             if (sound || mRandom.nextInt(5) != 0) {
+                mAdmissions.get(number).keys().add("k" + key);
                 text.append("team k").append(key).append(" t").append(key).append('\n');
             }
         }
@@ -104,6 +141,7 @@
         boolean anonymous = mRandom.nextInt(4) == 0;
         if (sound || mRandom.nextInt(10) != 0) {
             mTimeouts.get(mVersion).put(name, millis);
+            mAdmissions.get(mVersion).routes().put(name, anonymous);
             text.append("route %s %s %d %s %b\n".formatted(name, kind, millis, service, anonymous));
         }
     }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakEventsTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakEventsTest.java
@@ -10,7 +10,7 @@
 class SoakEventsTest {
     private static final String TARGET = "/stream/a";
     private static final SoakHistory.Request REQUEST =
-            new SoakHistory.Request("id", TARGET, 2, 1_000, null, 0, -1);
+            new SoakHistory.Request("id", TARGET, "k0", 2, 1_000, null, 0, -1);
 
     private final SoakAttempts mAttempts = new SoakAttempts();
 
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakFaults.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakFaults.java
@@ -1,8 +1,12 @@
 package org.gentianwalk.gateway.sockets;
 
 import java.nio.file.Path;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Queue;
 import java.util.Random;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -10,6 +14,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import org.gentianwalk.gateway.MemoryStore;
 
 /** Causes the faults of one soak, in series and overlapping, as its seed draws them. */
 final class SoakFaults implements AutoCloseable {
@@ -19,6 +24,8 @@
      */
     private static final long BODY_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    private static final long MAX_COPY_AGE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
     private static final int MAX_STOPPING = 2;
 
     private final Random mRandom;
@@ -28,6 +35,17 @@
      */
     private final Random mGarbleRandom;
 
+    private final Random mRestoreRandom;
+    private final Deque<OldCopy> mCopies = new ArrayDeque<>();
+
+    /** Guards what operator and upstreams write, so that the latest of each is written last. */
+    private final Object mWrites = new Object();
+
+    private final Map<String, Boolean> mListed = new HashMap<>();
+    private byte[] mLatestConfiguration = {};
+    private SoakProbe mProbe;
+    private long mNextPublish = System.nanoTime();
+
     private final SoakHistory mHistory;
     private final SoakStore mStore;
     private final SoakConfiguration mConfiguration;
@@ -41,6 +59,9 @@
     private int mStarted;
     private long mBodiesRefusedAt = System.nanoTime() - BODY_LIMIT_NANOS;
 
+    /** A copy of the store and when it was taken. */
+    private record OldCopy(long takenAt, MemoryStore.Copy rows) {}
+
     /** A part of a fault that follows later. */
     private interface Step {
         void run() throws Exception;
@@ -69,6 +90,7 @@
             boolean planned) {
         mRandom = new Random(seed);
         mGarbleRandom = new Random(~seed);
+        mRestoreRandom = new Random(seed + 1);
         mHistory = history;
         mStore = store;
         mConfiguration = configuration;
@@ -95,25 +117,65 @@
         return List.copyOf(mEverStarted);
     }
 
+    /** Sets the probe that checks what is in force after a restore of the store. */
+    void probe(SoakProbe probe) {
+        mProbe = probe;
+    }
+
     void publish(boolean sound) {
-        byte[] version = mConfiguration.next(sound, mStore.mode() == SoakStore.Mode.WELL);
-        mStore.rows().put(PlainRows.CONFIG, PlainRows.CONFIG, version);
+        synchronized (mWrites) {
+            mLatestConfiguration = mConfiguration.next(sound, mStore.mode() == SoakStore.Mode.WELL);
+            mStore.rows().put(PlainRows.CONFIG, PlainRows.CONFIG, mLatestConfiguration);
+        }
     }
 
     void list(SoakUpstream upstream, boolean draining) {
-        mStore.rows()
-                .put(
-                        PlainRows.UPSTREAMS,
-                        upstream.id(),
-                        PlainRows.encode(upstream.entry(draining)));
+        synchronized (mWrites) {
+            mListed.put(upstream.id(), draining);
+            mStore.rows()
+                    .put(
+                            PlainRows.UPSTREAMS,
+                            upstream.id(),
+                            PlainRows.encode(upstream.entry(draining)));
+        }
+    }
+
+    private void removeFromList(SoakUpstream upstream) {
+        synchronized (mWrites) {
+            mListed.remove(upstream.id());
+            mStore.rows().remove(PlainRows.UPSTREAMS, upstream.id());
+        }
+    }
+
+    /** Writes the entry of an upstream again, as it is now, unless it was removed. */
+    private void listAgain(SoakUpstream upstream) {
+        synchronized (mWrites) {
+            Boolean draining = mListed.get(upstream.id());
+            if (draining != null) {
+                list(upstream, draining);
+            }
+        }
+    }
+
+    /** Writes the latest configuration again; it has to be in force as any other one. */
+    private void publishAgain() throws InterruptedException {
+        long version;
+        synchronized (mWrites) {
+            mStore.rows().put(PlainRows.CONFIG, PlainRows.CONFIG, mLatestConfiguration);
+            version = mConfiguration.version();
+        }
+        mProbe.checkInForceAfterRestore(version);
     }
 
     /** Changes the configuration and causes a fault beside about every third change. */
     void run(long seconds) throws Exception {
         long end = System.nanoTime() + seconds * 1_000_000_000L;
         while (System.nanoTime() - end < 0 || mConfiguration.isRefusingBodies()) {
-            publish(false);
+            if (System.nanoTime() - mNextPublish >= 0) {
+                publish(false);
+            }
             garble();
+            restoreStore();
             Thread.sleep(50 + mRandom.nextInt(200));
             boolean faulty = mRandom.nextInt(mPlanned ? 2 : 3) == 0;
             if (mConfiguration.isRefusingBodies()) {
@@ -136,6 +198,67 @@
         }
     }
 
+    /**
+     * Lets the store come back from a copy in some rounds, once or twice in a row. The operator and
+     * the upstreams write again what they wrote last; until then the store has only the copy.
+     */
+    private void restoreStore() {
+        long now = System.nanoTime();
+        mCopies.addLast(new OldCopy(now, mStore.rows().copy()));
+        while (now - mCopies.getFirst().takenAt() > MAX_COPY_AGE_NANOS) {
+            mCopies.removeFirst();
+        }
+        boolean due = mRestoreRandom.nextInt(15) == 0;
+        boolean twice = mRestoreRandom.nextInt(3) == 0;
+        int pauseMillis = 100 + mRestoreRandom.nextInt(1_500);
+        int readMillis = 50 + mRestoreRandom.nextInt(500);
+        int againMillis = 100 + mRestoreRandom.nextInt(1_500);
+        OldCopy first = drawCopy();
+        OldCopy second = drawCopy();
+        int otherWrites = mRestoreRandom.nextBoolean() ? mRestoreRandom.nextInt(200) : 0;
+        if (!due) {
+            return;
+        }
+        if (mStore.mode() != SoakStore.Mode.WELL || now - mBodiesRefusedAt < BODY_LIMIT_NANOS) {
+            mHistory.count("store left alone");
+            return;
+        }
+        for (int i = 0; i < otherWrites; i++) {
+            mStore.rows().put("other", "row", new byte[0]);
+        }
+        // A lost version of the configuration that is higher than those that follow the return.
+        publish(false);
+        if (mConfiguration.isRefusingBodies()) {
+            return;
+        }
+        long publishAfter = readMillis + againMillis;
+        later(readMillis, () -> restore(first, againMillis));
+        if (twice) {
+            later(readMillis + pauseMillis, () -> restore(second, againMillis));
+            publishAfter += pauseMillis;
+        }
+        mNextPublish = now + TimeUnit.MILLISECONDS.toNanos(publishAfter);
+    }
+
+    private OldCopy drawCopy() {
+        int position = mRestoreRandom.nextInt(mCopies.size());
+        return mCopies.stream().skip(position).findFirst().orElseThrow();
+    }
+
+    private void restore(OldCopy copy, long againMillis) {
+        synchronized (mWrites) {
+            mHistory.storeRestored(mInstances);
+            mStore.restore(copy.rows());
+        }
+        later(againMillis, this::publishAgain);
+        long delay = againMillis;
+        for (SoakUpstream upstream : mUpstreams) {
+            // Each upstream comes back at another time, within 2 s.
+            delay = (delay * 7 + 311) % 1_700;
+            later(delay, () -> listAgain(upstream));
+        }
+    }
+
     private void cause() throws Exception {
         SoakUpstream upstream = mUpstreams.get(mRandom.nextInt(mUpstreams.size()));
         int position = mRandom.nextInt(mInstances.size());
@@ -164,7 +287,7 @@
                 later(millis, () -> list(upstream, false));
             }
             case 9 -> {
-                mUpstreams.forEach(u -> mStore.rows().remove(PlainRows.UPSTREAMS, u.id()));
+                mUpstreams.forEach(this::removeFromList);
                 later(100 + millis / 3, () -> mUpstreams.forEach(u -> list(u, false)));
             }
             case 10 -> storeFault(SoakStore.Mode.SILENT, 500 + millis);
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakHistory.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakHistory.java
@@ -1,7 +1,9 @@
 package org.gentianwalk.gateway.sockets;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -18,20 +20,26 @@
     /** Idle time from which an instance may close a connection just as a request is sent. */
     private static final long IDLE_MILLIS = 300;
 
+    /** Statuses of requests that had a route, and a key where the route needs one. */
+    private static final Set<Integer> ADMITTED = Set.of(200, 502, 504);
+
     private static final Pattern VERSION = Pattern.compile("v(\\d+)");
 
     private final SoakStalls mStalls = new SoakStalls();
     private final SoakAttempts mAttempts = new SoakAttempts();
+    private final SoakConfiguration mConfiguration;
     private final SoakReasons mReasons;
     private final Map<String, Integer> mExecutions = new ConcurrentHashMap<>();
     private final Map<String, String> mRefused = new ConcurrentHashMap<>();
     private final Map<String, Integer> mCounts = new ConcurrentSkipListMap<>();
     private final Queue<String> mLate = new ConcurrentLinkedQueue<>();
     private final Queue<String> mUndecided = new ConcurrentLinkedQueue<>();
+    private final Queue<Restore> mRestores = new ConcurrentLinkedQueue<>();
     private final Queue<Ending> mEndings = new ConcurrentLinkedQueue<>();
     private final Queue<String> mViolations = new ConcurrentLinkedQueue<>();
 
     SoakHistory(SoakConfiguration configuration) {
+        mConfiguration = configuration;
         mReasons = new SoakReasons(configuration, mAttempts);
     }
 
@@ -40,6 +48,7 @@
      *
      * @param id identifier of this request
      * @param target its target, which differs for each answer
+     * @param key its API key
      * @param last number of the last event that the caller has
      * @param limitMillis its time limit
      * @param instance the instance that it was sent to
@@ -49,6 +58,7 @@
     record Request(
             String id,
             String target,
+            String key,
             int last,
             long limitMillis,
             SoakInstance instance,
@@ -60,11 +70,20 @@
 
         @Override
         public String toString() {
-            return "%s %s after event %d at %s (idle %d ms, limit %d ms)"
-                    .formatted(id, target, last, instance.name(), idleMillis, limitMillis);
+            return "%s %s with %s after event %d at %s (idle %d ms, limit %d ms)"
+                    .formatted(id, target, key, last, instance.name(), idleMillis, limitMillis);
         }
     }
 
+    /**
+     * A return of the store from a copy.
+     *
+     * @param atNanos when it came back
+     * @param version version that the peers had in force then, or a later one
+     * @param peers instances that served then
+     */
+    private record Restore(long atNanos, long version, List<SoakInstance> peers) {}
+
     /** A request whose ending needs a reason. */
     private record Ending(Request request, RawCaller.Response response) {}
 
@@ -169,6 +188,7 @@
                 count("late, machine stalled");
             }
         }
+        checkAdmission(request, response);
         if (response.status() == 503) {
             mRefused.put(request.id(), request.target());
         }
@@ -204,6 +224,56 @@
         return 0;
     }
 
+    /**
+     * Checks that a version which may have been in force refuses or admits the request as the
+     * instance did.
+     */
+    private void checkAdmission(Request request, RawCaller.Response response) {
+        int status = ADMITTED.contains(response.status()) ? 200 : response.status();
+        if (status != 200 && status != 401 && status != 404) {
+            return;
+        }
+        long from = request.instance().versionBefore(request.startNanos());
+        long to =
+                mConfiguration.versionPublishedBy(request.startNanos() + response.took().toNanos());
+        String route = request.target().split("/")[1];
+        if (!mConfiguration.isPossible(status, route, request.key(), from, to)) {
+            violation(
+                    "%s has %d, which no version from %d to %d gives"
+                            .formatted(request, response.status(), from, to));
+        }
+    }
+
+    /** Records that the store came back from a copy. */
+    void storeRestored(List<SoakInstance> instances) {
+        count("store restored");
+        long now = System.nanoTime();
+        List<SoakInstance> peers =
+                instances.stream()
+                        .filter(i -> i.isAlive() && !i.isStopping() && !i.isExcused(now))
+                        .filter(i -> i.versionBefore(now) > 0)
+                        .toList();
+        long version = peers.stream().mapToLong(i -> i.versionBefore(now)).min().orElse(0);
+        mRestores.add(new Restore(now, version, peers));
+    }
+
+    /**
+     * Checks that an instance that starts beside others does not put an older configuration of the
+     * copy in force.
+     */
+    private void checkStarted(SoakInstance instance, long shown) {
+        for (Restore restore : mRestores) {
+            if (shown < restore.version()
+                    && instance.isStartedAfter(restore.atNanos())
+                    && restore.peers().stream().noneMatch(i -> i.isExcused(restore.atNanos()))
+                    && restore.peers().stream().anyMatch(i -> !i.isStopping())) {
+                violation(
+                        "%s started with configuration %d of a copy, the others had %d"
+                                .formatted(instance.name(), shown, restore.version()));
+            }
+        }
+    }
+
     /** Records the configuration that an answer of an instance shows. */
     long shown(SoakInstance instance, RawCaller.Response response, long sentAt) {
         Matcher version = VERSION.matcher(response.body());
@@ -212,6 +282,7 @@
         }
         long shown = Long.parseLong(version.group(1));
         count("versions shown");
+        checkStarted(instance, shown);
         if (!instance.showsVersion(shown, sentAt)) {
             violation(instance.name() + " went back to configuration " + shown);
         }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakInstance.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakInstance.java
@@ -31,6 +31,7 @@
     private final String mName;
     private final Process mProcess;
     private final InetSocketAddress mCallers;
+    private final long mStartedAt = System.nanoTime();
     private volatile boolean mKilled;
     private volatile long mKilledAt;
     private volatile boolean mPausing;
@@ -157,6 +158,11 @@
         return mStopping;
     }
 
+    /** Returns whether the process was started after a time. */
+    boolean isStartedAfter(long nanos) {
+        return mStartedAt - nanos > 0;
+    }
+
     /** Records the version that an answer shows; returns false when it is older than before. */
     boolean showsVersion(long version, long sentAt) {
         mShown.add(new Shown(sentAt, System.nanoTime(), version));
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakStore.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakStore.java
@@ -19,6 +19,7 @@
 
     private final MemoryStore mRows = new MemoryStore();
     private volatile Mode mMode = Mode.WELL;
+    private volatile long mChangedAt = System.nanoTime();
     private final ScriptedUpstream mServer = new ScriptedUpstream("store", this::respond);
 
     /** How the store responds. */
@@ -40,9 +41,21 @@
     }
 
     void mode(Mode mode) {
+        mChangedAt = System.nanoTime();
         mMode = mode;
     }
 
+    /** Comes back from a copy, and responds to all calls from now on. */
+    void restore(MemoryStore.Copy copy) {
+        mRows.restore(copy);
+        mode(Mode.WELL);
+    }
+
+    /** Returns whether the store has been there, and not gone back, since a time. */
+    boolean isWellSince(long nanos) {
+        return mMode == Mode.WELL && mChangedAt - nanos <= 0;
+    }
+
     String address() {
         return mServer.entry("store", "a").address();
     }
