Tell a reset by a later process under an outdated entry from an end

Cause: a process that was started again answers checks with its own start, which differs from the start in the entry until that is renewed. Such an answer counted as the end of the process under the attempt, although the attempt may have run at the process that answers, which goes on. Two such resets ended a sound call, and counted as evidence against it.

Change: a loss is refuted when the process that answers had started before the attempt. Clocks of hosts are not compared: it had started by the time at which the entry was first seen plus the difference of both starts, which are by one clock, or by the check that found it first. Where that does not show it, the loss counts as before, since the request may have ended the listed process. A clock of an upstream that is set back between two starts would make the bound too early.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallChecks.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallChecks.java
@@ -46,6 +46,11 @@
         return checks;
     }
 
+    /** Returns the upstream of a check in progress, or null. */
+    @Nullable CallTarget checkedTarget(Upstream upstream) {
+        return mPending.get(upstream);
+    }
+
     /** Ends a check, and returns the upstream that was checked. */
     @Nullable CallTarget end(Upstream upstream, boolean responded) {
         CallTarget target = mPending.remove(upstream);
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallEvidence.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallEvidence.java
@@ -32,9 +32,10 @@
             SuspectSubject subject,
             CallTarget target,
             AttemptEnd end,
+            long startedNanos,
             long nowNanos) {
         if (end.isProcessLost()) {
-            return mLosses.recordLoss(target, requestId, subject, true, nowNanos);
+            return mLosses.recordLoss(target, requestId, subject, true, startedNanos, nowNanos);
         }
         if (end == AttemptEnd.SUCCEEDED || end == AttemptEnd.ANSWERED_ERROR) {
             mChanges += mLosses.recordOutput(subject, nowNanos) ? 1 : 0;
@@ -52,6 +53,16 @@
         mLosses.recordCheck(target, true, nowNanos);
     }
 
+    /**
+     * Records that a check was answered by a process that was started later at the address.
+     *
+     * @param startedByNanos time by which that process had started
+     * @return whether that refutes all losses before the check, of which there are some
+     */
+    boolean recordLaterStart(CallTarget target, long startedByNanos, long nowNanos) {
+        return mLosses.recordLaterStart(target, startedByNanos, nowNanos);
+    }
+
     void advance(long nowNanos) {
         if (mLosses.advance(nowNanos)) {
             mChanges++;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -120,7 +120,13 @@
         target.recordEnd(end, call.startedAt(), nowNanos);
         call.recordEnd(
                 end,
-                mEvidence.recordEnd(call.work().requestId(), call.subject(), target, end, nowNanos),
+                mEvidence.recordEnd(
+                        call.work().requestId(),
+                        call.subject(),
+                        target,
+                        end,
+                        call.startedAt(),
+                        nowNanos),
                 nowNanos);
         if (end.isProcessLost() && call.work().kind().isRepeatable()) {
             // Later, a process that was started in its place could answer for it.
@@ -247,6 +253,20 @@
         }
     }
 
+    @Override
+    public void recordLaterStart(Upstream upstream, long incarnation, long nowNanos) {
+        CallTarget target = mChecks.checkedTarget(upstream);
+        if (target == null) {
+            return;
+        }
+        long startedBy = target.recordLaterStart(incarnation, nowNanos);
+        if (mEvidence.recordLaterStart(target, startedBy, nowNanos)) {
+            recordLivenessCheck(upstream, true, nowNanos);
+        } else {
+            recordProcessEnd(upstream, nowNanos);
+        }
+    }
+
     private void handleNotExecuted(CallRun call, AttemptEnd end, long nowNanos) {
         boolean retry = call.unexecutedAttempts() < MAX_UNEXECUTED_ATTEMPTS;
         if (!end.isNotSent()) {
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
@@ -35,6 +35,7 @@
     private static final long MIN_REMOVAL_NANOS = Duration.ofSeconds(1).toNanos();
 
     private Upstream mUpstream;
+    private final LaterStart mLaterStart;
     private final Reachability mReachability = new Reachability();
 
     /** Start times of the calls in progress, in this order. */
@@ -55,8 +56,9 @@
     /** Start of the last check that ended without a response, or null. */
     private @Nullable Long mMissedAt;
 
-    CallTarget(Upstream upstream) {
+    CallTarget(Upstream upstream, long nowNanos) {
         mUpstream = upstream;
+        mLaterStart = new LaterStart(nowNanos);
     }
 
     @Override
@@ -152,6 +154,15 @@
         return mMissedAt != null && mMissedAt - nanos >= 0;
     }
 
+    /**
+     * Records that a process that was started later has answered a check at the address.
+     *
+     * @return a time by which it had started
+     */
+    long recordLaterStart(long incarnation, long nowNanos) {
+        return mLaterStart.record(mUpstream, incarnation, nowNanos);
+    }
+
     /** Records that a check has shown that the process has ended. */
     void recordProcessEnd(long nowNanos) {
         mReachability.recordFailure(nowNanos);
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTargets.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTargets.java
@@ -62,7 +62,7 @@
                 before.remove(upstream.id());
                 mTargets.put(upstream.id(), known);
             } else {
-                mTargets.put(upstream.id(), new CallTarget(upstream));
+                mTargets.put(upstream.id(), new CallTarget(upstream, nowNanos));
             }
         }
         for (CallTarget target : before.values()) {
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineState.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineState.java
@@ -19,6 +19,7 @@
 
     private Upstream mUpstream;
     private final long mListedAt;
+    private final LaterStart mLaterStart;
     private final Reachability mReachability = new Reachability();
     private final Map<Long, Load> mLoads = new HashMap<>();
     private final Map<String, List<Load>> mPeerLoads = new HashMap<>();
@@ -41,6 +42,7 @@
     EngineState(Upstream upstream, long nowNanos) {
         mUpstream = upstream;
         mListedAt = nowNanos;
+        mLaterStart = new LaterStart(nowNanos);
     }
 
     /**
@@ -178,6 +180,15 @@
         return mHasCheck && mCheckedAt - nanos >= 0;
     }
 
+    /**
+     * Records that a process that was started later has answered a check at the address.
+     *
+     * @return a time by which it had started
+     */
+    long recordLaterStart(long incarnation, long nowNanos) {
+        return mLaterStart.record(mUpstream, incarnation, nowNanos);
+    }
+
     /** Records that the process has ended for good although it may still be listed. */
     void markEnded() {
         mEnded = true;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LivenessAware.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LivenessAware.java
@@ -36,6 +36,19 @@
         recordLivenessCheck(engine, false, nowNanos);
     }
 
+    /**
+     * Records that a check was answered by a process that was started later at the address of the
+     * one that was checked, whose entry is out of date. Takes the place of {@link
+     * #recordLivenessCheck}.
+     *
+     * @param engine the engine that was checked
+     * @param incarnation start of the process that answered, as {@link Upstream#incarnation}
+     * @param nowNanos current time
+     */
+    default void recordLaterStart(Upstream engine, long incarnation, long nowNanos) {
+        recordProcessEnd(engine, nowNanos);
+    }
+
     /**
      * A check to make.
      *
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossDetector.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossDetector.java
@@ -92,6 +92,11 @@
         return checks;
     }
 
+    /** Returns the engine of a check in progress, or null. */
+    @Nullable EngineState checkedEngine(Upstream upstream) {
+        return mPendingChecks.get(upstream);
+    }
+
     /** Records the result of a check, and returns the engine that was checked. */
     @Nullable EngineState recordCheck(Upstream upstream, boolean responded, long nowNanos) {
         EngineState engine = mPendingChecks.remove(upstream);
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
@@ -75,6 +75,7 @@
      * @param requestId identifier of the request
      * @param subject what the loss may be attributed to
      * @param closed true when the connection was closed, false when the upstream did not respond
+     * @param startedNanos start of the attempt
      * @param atNanos time of the loss
      * @param outcome whether the loss counts
      */
@@ -83,6 +84,7 @@
             String requestId,
             SuspectSubject subject,
             boolean closed,
+            long startedNanos,
             long atNanos,
             Outcome outcome) {}
 
@@ -105,10 +107,21 @@
     /**
      * Records that an attempt without output has lost its upstream.
      *
+     * @param process the upstream's process
+     * @param requestId identifier of the request
+     * @param subject what the loss may be attributed to
+     * @param closed true when the connection was closed, false when the upstream did not respond
+     * @param startedNanos start of the attempt
+     * @param nowNanos current time
      * @return what becomes known about the loss
      */
     Outcome recordLoss(
-            P process, String requestId, SuspectSubject subject, boolean closed, long nowNanos) {
+            P process,
+            String requestId,
+            SuspectSubject subject,
+            boolean closed,
+            long startedNanos,
+            long nowNanos) {
         Outcome outcome = new Outcome();
         for (Loss<P> loss : mUnconfirmed) {
             if (loss.process() == process && loss.requestId().equals(requestId)) {
@@ -118,7 +131,8 @@
         // An upstream that did not respond before it closed the connection is lost once.
         mUnconfirmed.removeIf(
                 loss -> loss.process() == process && loss.requestId().equals(requestId));
-        mUnconfirmed.add(new Loss<>(process, requestId, subject, closed, nowNanos, outcome));
+        mUnconfirmed.add(
+                new Loss<>(process, requestId, subject, closed, startedNanos, nowNanos, outcome));
         return outcome;
     }
 
@@ -203,6 +217,24 @@
                 nowNanos);
     }
 
+    /**
+     * Records that a check was answered by a process that was started later at the address. It goes
+     * on, so it was not lost under attempts that began after its start.
+     *
+     * @param startedByNanos time by which that process had started
+     * @return whether the check refutes all losses before it, of which there are some
+     */
+    boolean recordLaterStart(P process, long startedByNanos, long nowNanos) {
+        Predicate<Loss<P>> isChecked =
+                loss -> loss.process() == process && process.isCheckedSince(loss.atNanos());
+        List<Loss<P>> refuted =
+                drop(
+                        isChecked.and(loss -> loss.startedNanos() - startedByNanos >= 0),
+                        SettledLoss.Sign.ALIVE,
+                        nowNanos);
+        return !refuted.isEmpty() && mUnconfirmed.stream().noneMatch(isChecked);
+    }
+
     /**
      * Confirms the losses of processes that are known to have ended, and drops those of processes
      * that live or about which nothing becomes known.
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -315,7 +315,12 @@
     private void recordLoss(StreamRun run, StreamAttempt attempt, boolean closed, long nowNanos) {
         if (!attempt.hasOutput()) {
             mEvidence.recordLoss(
-                    attempt.engine(), run.work().requestId(), run.subject(), closed, nowNanos);
+                    attempt.engine(),
+                    run.work().requestId(),
+                    run.subject(),
+                    closed,
+                    attempt.startedAt(),
+                    nowNanos);
         }
     }
 
@@ -435,6 +440,20 @@
         }
     }
 
+    @Override
+    public void recordLaterStart(Upstream engine, long incarnation, long nowNanos) {
+        EngineState checked = mLossDetector.checkedEngine(engine);
+        if (checked == null) {
+            return;
+        }
+        long startedBy = checked.recordLaterStart(incarnation, nowNanos);
+        if (mEvidence.recordLaterStart(checked, startedBy, nowNanos)) {
+            recordLivenessCheck(engine, true, nowNanos);
+        } else {
+            recordProcessEnd(engine, nowNanos);
+        }
+    }
+
     @Override
     public InstanceLoad load(long nowNanos) {
         List<GenerationLoad> runs = new ArrayList<>();
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -714,14 +714,16 @@
         long startedAt = mTicker.nanos();
         mQueries.checkLiveness(
                 check,
-                liveness ->
+                (liveness, incarnation) ->
                         run(
                                 "queries of engines",
                                 () -> {
                                     recordLeaving(check.engine(), liveness == Liveness.LEAVING);
                                     drainInput();
                                     long now = mTicker.nanos();
-                                    if (liveness == Liveness.ENDED) {
+                                    if (isLaterStart(incarnation, check.engine())) {
+                                        aware.recordLaterStart(check.engine(), incarnation, now);
+                                    } else if (liveness == Liveness.ENDED) {
                                         aware.recordProcessEnd(check.engine(), now);
                                     } else {
                                         aware.recordLivenessCheck(
@@ -736,6 +738,10 @@
                                 }));
     }
 
+    private static boolean isLaterStart(@Nullable Long incarnation, Upstream listed) {
+        return incarnation != null && incarnation > listed.incarnation();
+    }
+
     private void applyDirectory() {
         if (!mDirectory.takeChanged()) {
             return;
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/EngineQueryClient.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/EngineQueryClient.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import org.gentianwalk.core.dispatch.LivenessAware.LivenessCheck;
 import org.gentianwalk.core.dispatch.Upstream;
 import org.gentianwalk.core.time.Ticker;
@@ -87,15 +86,21 @@
      * Checks whether the process of an upstream responds.
      *
      * @param check the check
-     * @param callback receives the result on the traffic loop
+     * @param callback receives the result on the traffic loop, and which start of the upstream has
+     *     responded, or null when the response does not come from it or does not state it
      */
-    void checkLiveness(LivenessCheck check, Consumer<Liveness> callback) {
+    void checkLiveness(LivenessCheck check, BiConsumer<Liveness, @Nullable Long> callback) {
         Upstream upstream = check.engine();
         query(
                 upstream,
                 mDialect.livenessPath(),
                 check.timeout(),
-                (response, failure) -> callback.accept(liveness(upstream, response, failure)));
+                (response, failure) ->
+                        callback.accept(
+                                liveness(upstream, response, failure),
+                                response == null || !isFrom(upstream, response.head())
+                                        ? null
+                                        : mDialect.parseIncarnation(response.body())));
     }
 
     private Liveness liveness(
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/control/EngineQueryClientTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/control/EngineQueryClientTest.java
@@ -32,6 +32,7 @@
     private final ManualExecutor mTraffic = new ManualExecutor();
     private final List<UpstreamListener> mListeners = new ArrayList<>();
     private final List<Liveness> mLiveness = new ArrayList<>();
+    private final List<Long> mIncarnations = new ArrayList<>();
     private final List<List<Long>> mResults = new ArrayList<>();
     private int mCancelled;
     private final EngineQueryClient mClient =
@@ -89,6 +90,7 @@
         assertThat(check("1")).isEqualTo(Liveness.RESPONDED);
         assertThat(check("2")).isEqualTo(Liveness.ENDED);
         assertThat(check("")).as("a response that does not state it").isEqualTo(Liveness.RESPONDED);
+        assertThat(mIncarnations).containsExactly(1L, 2L, null);
     }
 
     /** A check that times out is not proof of an end, and a refused connection is. */
@@ -159,7 +161,12 @@
     }
 
     private UpstreamListener check() {
-        mClient.checkLiveness(new LivenessCheck(ENGINE, CHECK_TIMEOUT), mLiveness::add);
+        mClient.checkLiveness(
+                new LivenessCheck(ENGINE, CHECK_TIMEOUT),
+                (liveness, incarnation) -> {
+                    mLiveness.add(liveness);
+                    mIncarnations.add(incarnation);
+                });
         mTraffic.runAll();
         return mListeners.getLast();
     }
