Keep a stated limit when the next one can't be read

Cause: a response without a limit lifts the limit that its upstream stated before. PlatformHeaders took a limit that can't be read for none, so that it lifted the limit, too, for this instance and, by the next notice, for the fleet. Change: the head says whether a limit is there that can't be read, and such a response reports nothing. Evidence: ExchangeTest.aLimitThatCannotBeReadLeavesTheOneBeforeIt fails with the condition of before and passes now. ExchangeTest, EngineQueryClientTest and PlatformHeadersTest pass. Tests changed: heads in ExchangeTest, EngineQueryClientTest and PlainDialect have the new field.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -407,7 +407,7 @@
             mHead = head;
             mHeaders = headers;
             if (!head.misdirected()) {
-                reportRequestLimit(head.requestLimit());
+                reportRequestLimit(head);
                 reportPause(head);
             }
             mCollaborators.dialect().removeInternalHeaders(headers);
@@ -418,9 +418,11 @@
                             && head.eventStream();
         }
 
-        private void reportRequestLimit(@Nullable Double limit) {
+        private void reportRequestLimit(ResponseHead head) {
             ControlPort control = mCollaborators.control();
-            if (limit != null || control.hasRequestLimit(mStart.upstream())) {
+            Double limit = head.requestLimit();
+            boolean lifted = limit == null && !head.limitUnreadable();
+            if (limit != null || lifted && control.hasRequestLimit(mStart.upstream())) {
                 control.requestLimitStated(mStart.upstream(), limit);
             }
         }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/wire/ResponseHead.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/wire/ResponseHead.java
@@ -16,7 +16,9 @@
  * @param eventStream true when the body is a stream of events
  * @param load load of the upstream, or null without one
  * @param requestLimit requests a second that the upstream accepts from all instances together, or
- *     null when it states no limit
+ *     null when it states none that can be read
+ * @param limitUnreadable true when the upstream states a limit that can't be read, so that the one
+ *     before it still holds
  * @param leaving true when the upstream's process is about to end and wants no further requests
  * @param pause time for which the upstream wants no requests from this instance, or null
  * @param keepAlive how long the upstream keeps an idle connection open, or null without one
@@ -31,6 +33,7 @@
         boolean eventStream,
         @Nullable UpstreamLoad load,
         @Nullable Double requestLimit,
+        boolean limitUnreadable,
         boolean leaving,
         @Nullable Duration pause,
         @Nullable Duration keepAlive) {
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/control/EngineQueryClientTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/control/EngineQueryClientTest.java
@@ -27,7 +27,8 @@
     private static final Duration CHECK_TIMEOUT = Duration.ofMillis(50);
     private static final ResponseHead HEAD =
             new ResponseHead(
-                    null, 200, false, false, null, true, false, null, null, false, null, null);
+                    null, 200, false, false, null, true, false, null, null, false, false, null,
+                    null);
 
     private final ManualExecutor mTraffic = new ManualExecutor();
     private final List<UpstreamListener> mListeners = new ArrayList<>();
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/PlainDialect.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/PlainDialect.java
@@ -55,6 +55,7 @@
                 null,
                 null,
                 false,
+                false,
                 null,
                 keepAlive == null ? null : Duration.ofSeconds(Long.parseLong(keepAlive)));
     }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -748,7 +748,8 @@
         start(exchange, 1, FIRST);
         ResponseHead limited =
                 new ResponseHead(
-                        "id-1", 200, false, false, null, true, false, null, 3.5, false, null, null);
+                        "id-1", 200, false, false, null, true, false, null, 3.5, false, false, null,
+                        null);
         mSent.getFirst().listener().onHead(limited, new DefaultHttpHeaders());
         assertThat(mControl.mLog).containsExactly("limit 3.5");
         mSent.getFirst().listener().onHead(head(200, true, false, false), new DefaultHttpHeaders());
@@ -759,6 +760,21 @@
         assertThat(mControl.mLog).containsExactly("limit 3.5", "limit null");
     }
 
+    /** Guards against a limit that is lifted by one that can't be read. */
+    @Test
+    void aLimitThatCannotBeReadLeavesTheOneBeforeIt() {
+        Exchange exchange = exchange(RequestKind.IDEMPOTENT_CALL, 0);
+        start(exchange, 1, FIRST);
+        mControl.mHasLimit = true;
+        ResponseHead unreadable =
+                new ResponseHead(
+                        "id-1", 200, false, false, null, true, false, null, null, true, false, null,
+                        null);
+        mSent.getFirst().listener().onHead(unreadable, new DefaultHttpHeaders());
+
+        assertThat(mControl.mLog).isEmpty();
+    }
+
     /** A request that is sent although its upstream is about to end may be cut off there. */
     @Test
     void upstreamsThatLeaveOrWantAPauseAreReportedWithAnyAnswer() {
@@ -786,6 +802,7 @@
                 false,
                 null,
                 null,
+                false,
                 leaving,
                 pause,
                 null);
@@ -809,6 +826,7 @@
                 (UpstreamLoad) null,
                 null,
                 false,
+                false,
                 null,
                 null);
     }
