Drop numbers of peers that are out of range

Cause: LoadCodec took unsigned numbers above 2^31 for negative ones. A negative count of retries raises the retry budget of the fleet, negative memory of a run is free memory at its engine, and evidence with a negative age does not expire in time. A limit that is no number, or negative, ended the processing of all queued notices with an exception on the control thread. Change: a report with a count out of range or without a service is dropped, and so are single runs, failures, suspects and limits out of range or without a name; the rest of the notice holds.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadCodec.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadCodec.java
@@ -9,10 +9,15 @@
 import org.gentianwalk.proto.EngineDoubt;
 import org.gentianwalk.proto.RunLoad;
 import org.gentianwalk.proto.ServiceLoad;
+import org.gentianwalk.proto.SuspectEntry;
 import org.gentianwalk.proto.UpstreamLimit;
 import org.gentianwalk.server.control.SuspectCodec;
 
-/** Converts between the load of an instance and its messages. */
+/**
+ * Converts between the load of an instance and its messages. Unsigned numbers of a message that
+ * exceed an int are negative here. What has such a number, or no name, is dropped; the rest of the
+ * message holds.
+ */
 final class LoadCodec {
     private LoadCodec() {}
 
@@ -59,16 +64,24 @@
     static List<StatedLimit> decodeLimits(List<UpstreamLimit> messages) {
         List<StatedLimit> limits = new ArrayList<>(messages.size());
         for (UpstreamLimit message : messages) {
-            limits.add(
-                    new StatedLimit(
-                            message.getProcess(), message.getRequestsPerS(), message.getAgeMs()));
+            double rate = message.getRequestsPerS();
+            if (!message.getProcess().isEmpty() && rate >= 0 && message.getAgeMs() >= 0) {
+                limits.add(new StatedLimit(message.getProcess(), rate, message.getAgeMs()));
+            }
         }
         return limits;
     }
 
-    static InstanceLoad decode(ServiceLoad message) {
+    static List<InstanceLoad> decodeLoads(List<ServiceLoad> messages) {
+        return messages.stream().filter(LoadCodec::isValid).map(LoadCodec::decode).toList();
+    }
+
+    private static InstanceLoad decode(ServiceLoad message) {
         List<GenerationLoad> runs = new ArrayList<>(message.getRunsCount());
         for (RunLoad run : message.getRunsList()) {
+            if (!isValid(run)) {
+                continue;
+            }
             runs.add(
                     new GenerationLoad(
                             run.getEngine(),
@@ -82,6 +95,9 @@
         }
         List<InstanceLoad.EngineFailure> failures = new ArrayList<>(message.getDoubtsCount());
         for (EngineDoubt failure : message.getDoubtsList()) {
+            if (failure.getEngine().isEmpty() || failure.getAgeMs() < 0) {
+                continue;
+            }
             failures.add(
                     new InstanceLoad.EngineFailure(
                             failure.getEngine(),
@@ -96,6 +112,29 @@
                 message.getWaiting(),
                 failures,
                 new FleetRetryBudget.Usage(message.getRequests(), message.getRetries()),
-                message.getSuspectsList().stream().map(SuspectCodec::decode).toList());
+                message.getSuspectsList().stream()
+                        .filter(LoadCodec::isValid)
+                        .map(SuspectCodec::decode)
+                        .toList());
+    }
+
+    private static boolean isValid(ServiceLoad message) {
+        return !message.getService().isEmpty()
+                && message.getWaiting() >= 0
+                && message.getRequests() >= 0
+                && message.getRetries() >= 0;
+    }
+
+    private static boolean isValid(RunLoad run) {
+        return !run.getEngine().isEmpty()
+                && run.getPrompt() >= 0
+                && run.getMemory() >= 0
+                && run.getAgeMs() >= 0;
+    }
+
+    private static boolean isValid(SuspectEntry suspect) {
+        return suspect.getAgeMs() >= 0
+                && suspect.getClearedAgeMs() >= 0
+                && suspect.getLossAgesMsList().stream().allMatch(age -> age >= 0);
     }
 }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadExchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadExchange.java
@@ -19,7 +19,6 @@
 import org.gentianwalk.core.time.Ticker;
 import org.gentianwalk.proto.LoadNotice;
 import org.gentianwalk.proto.MessageType;
-import org.gentianwalk.proto.ServiceLoad;
 import org.gentianwalk.server.mesh.MeshNode;
 import org.gentianwalk.server.mesh.MeshPeer;
 
@@ -141,10 +140,7 @@
     void processNotices() {
         for (LoadNotice notice = mNotices.poll(); notice != null; notice = mNotices.poll()) {
             mQueuedBytes.addAndGet(-notice.getSerializedSize());
-            List<InstanceLoad> loads = new ArrayList<>();
-            for (ServiceLoad service : notice.getServicesList()) {
-                loads.add(LoadCodec.decode(service));
-            }
+            List<InstanceLoad> loads = LoadCodec.decodeLoads(notice.getServicesList());
             mListener.recordPeerLoads(
                     peerKey(notice.getInstance(), notice.getIncarnation()), loads);
             if (notice.getLimitsCount() > 0) {
