End an answer as diverged if its regenerated output is shorter

Cause: an engine without resume regenerates from the start. Change: an attempt finishes the generation only at or after the last held token; otherwise the answer ends with generation_diverged, as it does for a different token.

--- a/gentianwalk-server/src/main/java/org/gentianwalk/server/pipeline/AttemptRunner.java
+++ b/gentianwalk-server/src/main/java/org/gentianwalk/server/pipeline/AttemptRunner.java
@@ -204,7 +204,11 @@
         }
         if (chunk == null && finishReason == null) {
             finish(null);
-        } else if (append(mNextPosition, tokens)) {
+            return;
+        }
+        int position = mNextPosition;
+        mNextPosition += tokens.size();
+        if (append(position, tokens)) {
             finish(finishReason);
         }
     }
@@ -213,8 +217,12 @@
         if (finishReason == null) {
             throw new EngineException(EngineException.Reason.BROKEN, "end without a finish reason");
         }
-        if (mGeneration.finish(mStart.attempt(), finishReason)) {
-            mContext.onFinished(mGeneration, mCachedTokens);
+        switch (mGeneration.finish(mStart.attempt(), mNextPosition, finishReason)) {
+            case OK -> mContext.onFinished(mGeneration, mCachedTokens);
+            case DIVERGED -> failDiverged(mNextPosition);
+            default -> {
+                // Another attempt has continued the generation, or it has ended.
+            }
         }
     }
 
--- a/gentianwalk-server/src/main/java/org/gentianwalk/server/pipeline/Generation.java
+++ b/gentianwalk-server/src/main/java/org/gentianwalk/server/pipeline/Generation.java
@@ -26,7 +26,7 @@
         STALE,
         /** The engine skipped a position. */
         GAP,
-        /** The engine sent a different token at a position that is already held. */
+        /** The engine sent a different token, or the end, at a position that is already held. */
         DIVERGED,
         /** The engine sent more tokens than the maximum; the excess is dropped. */
         FULL
@@ -180,16 +180,23 @@
     }
 
     /**
-     * Ends the generation after its last token; returns false when the attempt is not the current
-     * one.
+     * Ends the generation after its last token, unless the attempt is not the current one, or ends
+     * before tokens that an earlier attempt has sent.
+     *
+     * @param attempt the attempt
+     * @param position number of tokens at the end of its output
+     * @param reason the finish reason
      */
-    boolean finish(int attempt, String reason) {
+    AppendResult finish(int attempt, int position, String reason) {
         mSessionLock.lock();
         try {
             mLock.lock();
             try {
                 if (mEnd != null || mFinishReason != null || attempt != mLog.attempt()) {
-                    return false;
+                    return AppendResult.STALE;
+                }
+                if (position < mLog.size()) {
+                    return AppendResult.DIVERGED;
                 }
                 mFinishReason = reason;
                 mRunner = null;
@@ -199,7 +206,7 @@
             if (mSession != null) {
                 mSession.finish(reason);
             }
-            return true;
+            return AppendResult.OK;
         } finally {
             mSessionLock.unlock();
         }
