Ignore an update about a member whose state is not known

Cause: Member took every state that it did not know for ALIVE, so that an update without a state, or with that of a later release, put a dead or leaving member back into service. Change: such an update is not complete and changes nothing, as one without an address. Evidence: MemberStateTest.anUpdateWithoutAKnownStateIsNotComplete fails before and passes now; MembershipTest and MembershipDriverTest pass.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/membership/Member.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/membership/Member.java
@@ -100,8 +100,12 @@
                 update.getConfigVersion());
     }
 
+    /** Returns whether an update has all fields, and a state that this release knows. */
     static boolean isComplete(MemberUpdate update) {
-        return !update.getInstance().isEmpty()
+        MemberState state = update.getState();
+        return state != MemberState.MEMBER_STATE_UNSPECIFIED
+                && state != MemberState.UNRECOGNIZED
+                && !update.getInstance().isEmpty()
                 && !update.getAddress().isEmpty()
                 && !update.getRegion().isEmpty()
                 && !update.getAvailabilityZone().isEmpty();
