--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakFaults.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakFaults.java
@@ -35,16 +35,8 @@
      */
     private final Random mGarbleRandom;
 
+    /** Draws the restores of the store, apart for the same reason. */
     private final Random mRestoreRandom;
-    private final Deque<OldCopy> mCopies = new ArrayDeque<>();
-
-    /** Guards what operator and upstreams write, so that the latest of each is written last. */
-    private final Object mWrites = new Object();
-
-    private final Map<String, Boolean> mListed = new HashMap<>();
-    private byte[] mLatestConfiguration = {};
-    private SoakProbe mProbe;
-    private long mNextPublish = System.nanoTime();
 
     private final SoakHistory mHistory;
     private final SoakStore mStore;
@@ -56,6 +48,16 @@
     private final boolean mPlanned;
     private final ExecutorService mThreads = Executors.newVirtualThreadPerTaskExecutor();
     private final Queue<Future<?>> mPending = new ConcurrentLinkedQueue<>();
+    private final Deque<OldCopy> mCopies = new ArrayDeque<>();
+
+    /** Guards what operator and upstreams write, so that the latest of each is written last. */
+    private final Object mWrites = new Object();
+
+    private final Map<String, Boolean> mListed = new HashMap<>();
+    private byte[] mLatestConfiguration = {};
+    private SoakProbe mProbe;
+    private boolean mRestoring;
+    private long mNextPublish = System.nanoTime();
     private int mStarted;
     private long mBodiesRefusedAt = System.nanoTime() - BODY_LIMIT_NANOS;
 
@@ -169,13 +171,15 @@
 
     /** Changes the configuration and causes a fault beside about every third change. */
     void run(long seconds) throws Exception {
-        long end = System.nanoTime() + seconds * 1_000_000_000L;
+        long start = System.nanoTime();
+        long end = start + seconds * 1_000_000_000L;
         while (System.nanoTime() - end < 0 || mConfiguration.isRefusingBodies()) {
             if (System.nanoTime() - mNextPublish >= 0) {
                 publish(false);
             }
             garble();
-            restoreStore();
+            boolean late = System.nanoTime() - start > (end - start) / 2;
+            restoreStore(late && !mRestoring);
             Thread.sleep(50 + mRandom.nextInt(200));
             boolean faulty = mRandom.nextInt(mPlanned ? 2 : 3) == 0;
             if (mConfiguration.isRefusingBodies()) {
@@ -201,8 +205,10 @@
     /**
      * Lets the store come back from a copy in some rounds, once or twice in a row. The operator and
      * the upstreams write again what they wrote last; until then the store has only the copy.
+     *
+     * @param needed whether this has to happen, since each soak has to have it once
      */
-    private void restoreStore() {
+    private void restoreStore(boolean needed) {
         long now = System.nanoTime();
         mCopies.addLast(new OldCopy(now, mStore.rows().copy()));
         while (now - mCopies.getFirst().takenAt() > MAX_COPY_AGE_NANOS) {
@@ -216,7 +222,7 @@
         OldCopy first = drawCopy();
         OldCopy second = drawCopy();
         int otherWrites = mRestoreRandom.nextBoolean() ? mRestoreRandom.nextInt(200) : 0;
-        if (!due) {
+        if (!due && !needed) {
             return;
         }
         if (mStore.mode() != SoakStore.Mode.WELL || now - mBodiesRefusedAt < BODY_LIMIT_NANOS) {
@@ -231,6 +237,7 @@
         if (mConfiguration.isRefusingBodies()) {
             return;
         }
+        mRestoring = true;
         long publishAfter = readMillis + againMillis;
         later(readMillis, () -> restore(first, againMillis));
         if (twice) {
