Let no version that refuses bodies keep a soak from restoring the store

Change: the restore that each soak has to have publishes a version that refuses no bodies before it, and does not wait for the time after one that does.

--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakFaults.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakFaults.java
@@ -225,7 +225,8 @@
         if (!due && !needed) {
             return;
         }
-        if (mStore.mode() != SoakStore.Mode.WELL || now - mBodiesRefusedAt < BODY_LIMIT_NANOS) {
+        boolean bodiesRefused = now - mBodiesRefusedAt < BODY_LIMIT_NANOS;
+        if (mStore.mode() != SoakStore.Mode.WELL || bodiesRefused && !needed) {
             mHistory.count("store left alone");
             return;
         }
@@ -233,7 +234,7 @@
             mStore.rows().put("other", "row", new byte[0]);
         }
         // A lost version of the configuration that is higher than those that follow the return.
-        publish(false);
+        publish(needed);
         if (mConfiguration.isRefusingBodies()) {
             return;
         }
