Wait for the head of a stream before the stop in the test of a planned stop

PlannedStopTest.aRequestAfterAStreamThatEndsDuringTheStopIsAnswered failed in 1 of 2 runs beside load: the head of the stream had "Connection: close".

Cause: the test stopped the instance 300 ms after it sent the request, and took for granted that the head had been sent by then. A head that is sent after the signal rightly ends its connection.

The test now stops the instance once the head has arrived at the caller, as does aStreamAtTheEndOfTheStopDoesNotLookComplete, which rested on the same 300 ms. The assertions are unchanged, and a head that arrives after the wait of 10 s fails the test.

--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/PlannedStopTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/PlannedStopTest.java
@@ -377,7 +377,7 @@
     void aRequestAfterAStreamThatEndsDuringTheStopIsAnswered() throws Exception {
         try (RawCaller caller = mInstance.caller()) {
             caller.send("/stream/short", "stream-3");
-            Thread.sleep(300);
+            awaitHead(caller);
             GatewayFleet.stop(mInstance);
             RawCaller.Response stream = caller.read();
             assertThat(stream.complete()).isTrue();
@@ -390,6 +390,12 @@
         }
     }
 
+    /** A stream whose head was not sent before the signal is refused, or ends its connection. */
+    private static void awaitHead(RawCaller caller) throws Exception {
+        GatewayFleet.await(
+                "the head of the stream has arrived", Duration.ofSeconds(10), caller::hasInput);
+    }
+
     /** A connection that is accepted just before the end would be reset unread. */
     @Test
     void connectionsAreRefusedBeforeTheEndOfTheStop() throws Exception {
@@ -421,7 +427,7 @@
     void aStreamAtTheEndOfTheStopDoesNotLookComplete() throws Exception {
         try (RawCaller caller = mInstance.caller()) {
             caller.send("/stream/a", "stream-1");
-            Thread.sleep(300);
+            awaitHead(caller);
             GatewayFleet.stop(mInstance);
             RawCaller.Response response = caller.read();
 
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/RawCaller.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/RawCaller.java
@@ -4,6 +4,7 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -69,6 +70,15 @@
         mSocket.getOutputStream().flush();
     }
 
+    /** Returns whether a part of a response has arrived that was not read yet. */
+    boolean hasInput() {
+        try {
+            return mSocket.getInputStream().available() > 0;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     Response read() throws IOException {
         return read(System.nanoTime());
     }
