Answer a pull of a table also when there is none yet

Callers would see: instances that start together on a restored store, as after a loss of all of them, serve 0.7 s later, since each waits for tables that no other one has. Cause: an instance without a table did not reply to a pull, so the one that asked waited for its time limit. Change: it replies with a table of version 0, which counts as none.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/TableExchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/TableExchange.java
@@ -27,7 +27,6 @@
 import org.gentianwalk.proto.TableRow;
 import org.gentianwalk.server.mesh.MeshNode;
 import org.gentianwalk.server.mesh.MeshPeer;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Lets a few instances of each region, the readers, poll the shared store for all instances of the
@@ -74,12 +73,10 @@
                 TablePull.parser(),
                 (sender, pull, reply) ->
                         control.execute(
-                                () -> {
-                                    TableNews snapshot = snapshot(pull.getTable());
-                                    if (snapshot != null) {
-                                        reply.send(MessageType.TABLE_NEWS, snapshot);
-                                    }
-                                }));
+                                () ->
+                                        reply.send(
+                                                MessageType.TABLE_NEWS,
+                                                snapshot(pull.getTable()))));
     }
 
     /** State of one table. */
@@ -192,7 +189,7 @@
                         PULL_TIMEOUT)
                 .handle(
                         (news, failure) ->
-                                news == null
+                                news == null || news.getToVersion() == 0
                                         ? NO_TABLE
                                         : new Result.Rows(
                                                 decode(news).rows(),
@@ -208,10 +205,12 @@
         }
     }
 
-    private @Nullable TableNews snapshot(String table) {
+    /** Returns the local table, or one without a version when there is none yet. */
+    private TableNews snapshot(String table) {
         TableWatcher watcher = mWatchers.get(table);
         TableChanges snapshot = watcher == null ? null : watcher.snapshot();
-        return snapshot == null ? null : encode(snapshot);
+        return encode(
+                snapshot == null ? new TableChanges(table, 0, 0, List.of(), false) : snapshot);
     }
 
     private void broadcast(TableNews news) {
