State one era for all rows of a restored stand-in

Rows of the copy now have the current era. One more case: another complete read after an outage brings no older row back.

--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/MemoryStore.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/MemoryStore.java
@@ -55,9 +55,9 @@
      */
     public synchronized void restore(Copy copy) {
         mTables.clear();
-        copy.tables().forEach((table, rows) -> mTables.put(table, new TreeMap<>(rows)));
         mVersion = copy.version();
         mEra++;
+        copy.tables().forEach((table, rows) -> mTables.put(table, inEra(rows)));
         List<Poll> polls = List.copyOf(mPolls);
         mPolls.clear();
         for (Poll poll : polls) {
@@ -65,6 +65,18 @@
         }
     }
 
+    /** A response states one era for all its rows, whenever they were written. */
+    private TreeMap<String, RowStore.Row> inEra(TreeMap<String, RowStore.Row> rows) {
+        TreeMap<String, RowStore.Row> current = new TreeMap<>();
+        for (RowStore.Row row : rows.values()) {
+            StoreVersion written = new StoreVersion(mEra, row.version());
+            current.put(
+                    row.key(),
+                    new RowStore.Row(row.key(), row.value(), row.removed(), written, false));
+        }
+        return current;
+    }
+
     private StoreVersion next() {
         return new StoreVersion(mEra, ++mVersion);
     }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/RestoredStoreTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/RestoredStoreTest.java
@@ -220,6 +220,30 @@
         assertThat(follower.table()).isEqualTo(listed);
     }
 
+    /** The table is read again after each outage, and the copy still holds the older rows. */
+    @Test
+    void anotherCompleteReadBringsNoOlderRowBack() {
+        put("a", "1");
+        put("b", "1");
+        MemoryStore.Copy copy = mStore.copy();
+        Instance reader = start(true);
+        put("a", "2");
+        put("lost", "1");
+        mStore.remove(TABLE, "b");
+        run(BOUND);
+        mStore.restore(copy);
+        run(Duration.ofSeconds(1));
+        int reads = reader.mReads;
+        reader.mClient.rejecting(true);
+        put("c", "1");
+        run(Duration.ofSeconds(2));
+        reader.mClient.rejecting(false);
+        run(Duration.ofSeconds(1));
+
+        assertThat(reader.mReads).as("complete reads").isGreaterThan(reads);
+        assertThat(reader.table()).isEqualTo(Map.of("a", "2", "lost", "1", "c", "1"));
+    }
+
     /** Rows whose writer writes once only, such as the configuration, stay until then. */
     @Test
     void rowsThatAreNotRefreshedStayInForce() {
