Ignore carried rows that are known to have been replaced

Cause: an instance that was cut off from the store and the others before a restore carries its outdated rows and deletions over. A carried row has the version of the complete read that adopted the era, which is later the later the instance returns, so the outdated row replaced the newer one of all others: a removed upstream or one that was no longer leaving came back until it was written again or settled. It also replaced a deletion made in the new era.

Change: a carried row of another instance is compared by its value with the rows known to be superseded, removed ones included, since it has lost the version with which it was written. It never replaces a deletion of the same era that the store has stated.

Evidence: four new cases of RestoredStoreTest failed before (a deletion of the earlier era, one of the new era, a row written again after its deletion, and a row that a follower takes from the isolated reader) and pass.

A value that was in force twice within 60 s is taken for replaced by an instance that has not seen the second time; it holds the row between them until that row is written again or settled.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/SupersededRows.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/SupersededRows.java
@@ -17,34 +17,50 @@
     /** Maximum number of rows, which bounds their memory; the oldest ones are forgotten first. */
     private static final int MAX_ROWS = 4_096;
 
+    private static final long ANY_VERSION = -1;
+
     private final Map<Identity, Long> mRows = new LinkedHashMap<>();
 
+    /** The same rows whatever their version. */
+    private final Map<Identity, Long> mValues = new LinkedHashMap<>();
+
     /** What identifies a row across eras: versions alone are given out again. */
-    private record Identity(String key, long version, long checksum) {
-        static Identity of(Row row) {
+    private record Identity(String key, long version, boolean removed, long checksum) {
+        static Identity of(Row row, long version) {
             CRC32C checksum = new CRC32C();
             checksum.update(row.value());
-            return new Identity(row.key(), row.version(), checksum.getValue());
+            return new Identity(row.key(), version, row.removed(), checksum.getValue());
         }
     }
 
     /** Records a row that has been replaced or removed. */
     void add(Row row, long nowNanos) {
-        Identity identity = Identity.of(row);
-        mRows.remove(identity);
-        mRows.put(identity, nowNanos);
-        var oldest = mRows.entrySet().iterator();
+        add(mRows, Identity.of(row, row.version()), nowNanos);
+        add(mValues, Identity.of(row, ANY_VERSION), nowNanos);
+    }
+
+    private static void add(Map<Identity, Long> rows, Identity identity, long nowNanos) {
+        rows.remove(identity);
+        rows.put(identity, nowNanos);
+        var oldest = rows.entrySet().iterator();
         while (oldest.hasNext()) {
             boolean expired = nowNanos - oldest.next().getValue() > MAX_AGE_NANOS;
-            if (!expired && mRows.size() <= MAX_ROWS) {
+            if (!expired && rows.size() <= MAX_ROWS) {
                 return;
             }
             oldest.remove();
         }
     }
 
+    /**
+     * Returns whether a row is known to be out of date. One that was carried over has lost the
+     * version with which it was written, so its value alone counts.
+     */
     boolean contains(Row row, long nowNanos) {
-        Long at = mRows.get(Identity.of(row));
+        Long at =
+                row.carried()
+                        ? mValues.get(Identity.of(row, ANY_VERSION))
+                        : mRows.get(Identity.of(row, row.version()));
         return at != null && nowNanos - at <= MAX_AGE_NANOS;
     }
 }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableMirror.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableMirror.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import org.gentianwalk.core.time.Ticker;
 import org.gentianwalk.gateway.store.RowStore.Row;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Local copy of a table, updated from the store and from other instances. Each row carries the
@@ -222,7 +223,7 @@
         boolean outdated = latest != null && !latest.written().isBefore(row.written());
         // Instances settle at different times, and the earlier ones must not take the row again.
         boolean settled = row.carried() && mSettled && row.written().era() == mReadTo.era();
-        if (outdated || settled) {
+        if (outdated || settled || row.carried() && isReplaced(row, known, tombstone)) {
             return;
         }
         mHoldsCarried |= row.carried();
@@ -239,9 +240,25 @@
                 changes.add(row);
             }
         } else {
+            if (tombstone != null) {
+                mSuperseded.add(tombstone, mTicker.nanos());
+            }
             mTombstones.remove(row.key());
             mRows.put(row.key(), row);
             changes.add(row);
         }
     }
+
+    /**
+     * Returns whether a row that another instance carried over is known to have been replaced. That
+     * instance may have been cut off before, and the version states only when it read the table.
+     */
+    private boolean isReplaced(Row row, @Nullable Row known, @Nullable Row tombstone) {
+        if (tombstone != null
+                && !tombstone.carried()
+                && tombstone.written().era() == row.written().era()) {
+            return true;
+        }
+        return (known != null || tombstone != null) && mSuperseded.contains(row, mTicker.nanos());
+    }
 }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/RestoredStoreTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/RestoredStoreTest.java
@@ -131,6 +131,104 @@
         assertThat(cut.table()).as("fetched from the other instance").containsEntry("a", "3");
     }
 
+    /** A deletion that the isolated instance has missed is lost with the rest of the era. */
+    @Test
+    void anIsolatedInstanceDoesNotBringADeletedRowBack() {
+        put("b", "1");
+        MemoryStore.Copy copy = mStore.copy();
+        Instance reader = start(true);
+        Instance isolated = start(true);
+        put("a", "1");
+        run(BOUND);
+        isolated.isolated(true);
+        run(BOUND);
+        mStore.remove(TABLE, "a");
+        run(BOUND);
+
+        mStore.restore(copy);
+        run(Duration.ofSeconds(1));
+        put("b", "2");
+        isolated.isolated(false);
+        run(BOUND);
+
+        assertThat(isolated.table()).containsEntry("b", "2");
+        assertThat(reader.table()).doesNotContainKey("a");
+    }
+
+    /** A row of the new era is deleted before the isolated instance returns. */
+    @Test
+    void anIsolatedInstanceDoesNotBringARowBackThatWasDeletedInTheNewEra() {
+        put("b", "1");
+        put("a", "1");
+        MemoryStore.Copy copy = mStore.copy();
+        Instance reader = start(true);
+        Instance isolated = start(true);
+        run(BOUND);
+        isolated.isolated(true);
+        run(BOUND);
+
+        mStore.restore(copy);
+        run(Duration.ofSeconds(1));
+        mStore.remove(TABLE, "a");
+        run(Duration.ofSeconds(1));
+        put("b", "2");
+        isolated.isolated(false);
+        run(BOUND);
+
+        assertThat(isolated.table()).containsEntry("b", "2");
+        assertThat(reader.table()).doesNotContainKey("a");
+    }
+
+    /** The same with a deletion that the isolated instance still knows. */
+    @Test
+    void anIsolatedInstanceDoesNotBringADeletionBack() {
+        put("b", "1");
+        put("a", "0");
+        MemoryStore.Copy copy = mStore.copy();
+        Instance reader = start(true);
+        Instance isolated = start(true);
+        mStore.remove(TABLE, "a");
+        run(BOUND);
+        isolated.isolated(true);
+        run(BOUND);
+        put("a", "1");
+        run(BOUND);
+        assertThat(reader.table()).containsEntry("a", "1");
+
+        mStore.restore(copy);
+        run(Duration.ofSeconds(1));
+        put("b", "2");
+        isolated.isolated(false);
+        run(BOUND);
+
+        assertThat(isolated.table()).containsEntry("b", "2");
+        assertThat(reader.table()).containsEntry("a", "1");
+    }
+
+    /** The isolated instance reads first, so that the others adopt the era from it. */
+    @Test
+    void anIsolatedInstanceThatReadsFirstDoesNotReplaceNewerRows() {
+        put("b", "1");
+        MemoryStore.Copy copy = mStore.copy();
+        Instance follower = start(false);
+        Instance isolated = start(true);
+        put("a", "ready");
+        run(BOUND);
+        isolated.isolated(true);
+        run(BOUND);
+        put("a", "leaving");
+        run(BOUND);
+        assertThat(follower.table()).containsEntry("a", "leaving");
+
+        follower.mClient.rejecting(true);
+        mStore.restore(copy);
+        isolated.isolated(false);
+        run(BOUND);
+
+        assertThat(follower.mWatcher.snapshot().era()).isEqualTo(1);
+        assertThat(follower.table()).containsEntry("a", "leaving");
+    }
+
     /** Case 4: a configuration must not go back. */
     @Test
     void anOlderRowOfTheCopyDoesNotReplaceANewerOne() {
@@ -410,6 +508,7 @@
         private final boolean mReader;
         private final TableWatcher mWatcher;
         private boolean mHistoryLost;
+        private boolean mIsolated;
         private int mReads;
 
         Instance(boolean reader) {
@@ -431,6 +530,12 @@
             return mTable;
         }
 
+        /** Sets whether neither the store nor other instances can be reached. */
+        void isolated(boolean isolated) {
+            mIsolated = isolated;
+            mClient.rejecting(isolated);
+        }
+
         @Override
         public CompletionStage<Result> read(String table, String fromKey, Duration timeout) {
             mReads++;
@@ -520,7 +625,7 @@
 
         private void announce(TableChanges changes) {
             for (Instance other : mInstances) {
-                if (other != this) {
+                if (other != this && !other.mIsolated && !mIsolated) {
                     mControl.execute(() -> other.mWatcher.applyPeerChanges(changes));
                 }
             }
@@ -534,7 +639,8 @@
         @Override
         public CompletionStage<Result> pull(String table) {
             for (Instance other : mInstances) {
-                TableChanges snapshot = other == this ? null : other.mWatcher.snapshot();
+                boolean reached = other != this && !other.mIsolated && !mIsolated;
+                TableChanges snapshot = reached ? other.mWatcher.snapshot() : null;
                 if (snapshot != null) {
                     return CompletableFuture.completedFuture(
                             new Result.Rows(snapshot.rows(), false, snapshot.end()));
