Promise no caller that a call did not run unless its upstream states it

Callers would see: 503, 429 or 408 for a call that may run once, which states that it has not run and may be sent again, although its upstream had not stated that and may have executed it. Cause: an upstream's error was forwarded with its status, whatever the status promises here. Change: such a response to a request that may run once becomes 502 of this instance, with an unknown outcome, also when it is too long to be buffered. Requests that may be repeated keep the upstream's answer. Weighed against forwarding each status unchanged: the promise is this instance's, and a repeated call may run twice. Test: ExchangeTest.aRefusalThatIsNotMarkedNotRunIsNoPromiseForARequestThatMayRunOnce, 3 of 3 failed before.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.gentianwalk.core.dispatch.AttemptEnd;
 import org.gentianwalk.core.dispatch.Decision;
 import org.gentianwalk.core.dispatch.Progress;
@@ -48,6 +49,9 @@
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
 
+    /** Statuses with which callers may send any request again, since it has not run. */
+    private static final Set<Integer> REFUSALS = Set.of(408, 421, 429, SERVICE_UNAVAILABLE);
+
     private final Work mWork;
     private final CallerRequest mRequest;
     private final CallerChannel mChannel;
@@ -180,7 +184,7 @@
             case UNKNOWN -> mChannel.respond(BAD_GATEWAY, finish.reason(), null);
             case TIMED_OUT -> mChannel.respond(GATEWAY_TIMEOUT, finish.reason(), null);
             default -> {
-                if (errorResponse == null) {
+                if (errorResponse == null || isUnprovenRefusal(errorResponse.head())) {
                     mChannel.respond(BAD_GATEWAY, finish.reason(), null);
                 } else {
                     errorResponse.writeTo(mChannel);
@@ -189,6 +193,14 @@
         }
     }
 
+    /**
+     * Returns whether a response would promise the caller that a request has not run, which its
+     * upstream has not stated. A repeated request could then run twice.
+     */
+    private boolean isUnprovenRefusal(ResponseHead head) {
+        return !mWork.kind().isRepeatable() && !head.notRun() && REFUSALS.contains(head.status());
+    }
+
     @Override
     public void callerDisconnected() {
         if (mDone) {
@@ -563,6 +575,11 @@
                         "the response does not continue the stream");
                 return;
             }
+            if (isUnprovenRefusal(head)) {
+                cancelCall();
+                endAttempt(this, AttemptEnd.ANSWERED_ERROR, "status " + head.status());
+                return;
+            }
             reportProgress();
             supersedeOthers(this);
             mBegun = true;
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -29,6 +29,8 @@
 import org.gentianwalk.gateway.wire.CallerHead;
 import org.gentianwalk.gateway.wire.ResponseHead;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against responses that are truncated, mixed or sent twice, and against false refusals. */
 class ExchangeTest {
@@ -122,6 +124,33 @@
         assertThat(mControl.mLog).containsExactly("ended 1 ANSWERED_ERROR");
     }
 
+    /** The caller would send the request again, and it could run twice. */
+    @ParameterizedTest
+    @ValueSource(ints = {408, 429, 503})
+    void aRefusalThatIsNotMarkedNotRunIsNoPromiseForARequestThatMayRunOnce(int status) {
+        for (String body : List.of("busy", "x".repeat(300 << 10))) {
+            Exchange exchange = exchange(RequestKind.SINGLE_CALL, 0);
+            mSent.clear();
+            mCaller.mLog.clear();
+            start(exchange, 1, FIRST);
+            answer(0, status, true, false, body);
+            exchange.finish(finish(Ending.UPSTREAM_ERROR));
+
+            assertThat(mCaller.mLog).containsExactly("own answer 502");
+        }
+    }
+
+    /** Such a request may be sent again in any case, so the answer of the upstream holds. */
+    @Test
+    void aRefusalThatIsNotMarkedNotRunIsForwardedForARepeatableRequest() {
+        Exchange exchange = exchange(RequestKind.IDEMPOTENT_CALL, 0);
+        start(exchange, 1, FIRST);
+        answer(0, 503, true, false, "busy");
+        exchange.finish(finish(Ending.UPSTREAM_ERROR));
+
+        assertThat(mCaller.mLog).containsExactly("answer 503 busy");
+    }
+
     @Test
     void aNonRepeatableRequestIsNotResentAfterAStaleConnection() {
         Exchange exchange = exchange(RequestKind.SINGLE_CALL, 0);
