Start to serve although other instances can't be asked for a table

Cause: at a start with an era above 0 the first complete read waits for the table of another instance. If the call that asks for it throws, the flag that it is in progress stayed set, and no complete read was applied any more; the instance never served.

Change: a failure of that call counts as a pull without an answer.

Evidence: the two new cases of TableWatcherFailureTest failed before (nothing was read within 5 s, also when the call no longer threw) and pass; RestoredStoreTest, TableWatcherTest and RestoredStoreFleetTest pass.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
@@ -67,6 +67,9 @@
     /** Memory of a row beside its key and value, bytes; an estimate. */
     static final int ROW_BYTES = 128;
 
+    private static final Result NOT_PULLED =
+            new Result.Failed("other instances could not be asked", false);
+
     private final RowStore mStore;
     private final String mTable;
     private final TableListener mListener;
@@ -433,7 +436,10 @@
             } else if (!mPullsAtStart) {
                 // The copy lacks the latest changes, which other instances may know.
                 mPullsAtStart = true;
-                onResult(mFeed.pull(mTable), this::applyAfterPull);
+                Runnable pull = () -> onResult(mFeed.pull(mTable), this::applyAfterPull);
+                if (!mGuard.run("rows of table " + mTable, pull)) {
+                    applyAfterPull(NOT_PULLED);
+                }
             }
         }
 
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherFailureTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherFailureTest.java
@@ -72,7 +72,31 @@
         assertThat(mEvents).contains("replaced");
     }
 
+    /** Also when the store was restored, since other instances are asked only then. */
+    @Test
+    void theWatchStartsAlthoughOtherInstancesCannotBeAsked() {
+        mFailing = "pull";
+        mEra = 1;
+        start();
+        mControl.advance(Duration.ofSeconds(5));
+
+        assertThat(mEvents).contains("replaced");
+    }
+
+    /** Once they can be asked again, the table is read. */
+    @Test
+    void theWatchStartsAfterOtherInstancesCouldNotBeAsked() {
+        mFailing = "pull";
+        mEra = 1;
+        start();
+        mFailing = "";
+        mControl.advance(Duration.ofSeconds(5));
+
+        assertThat(mCalls).contains("changes");
+    }
+
     private boolean mOutage;
+    private long mEra;
 
     private void start() {
         new TableWatcher(
@@ -105,7 +129,16 @@
         return CompletableFuture.completedFuture(
                 mOutage
                         ? new Result.Failed("by the test", false)
-                        : new Result.Rows(List.of(new Row("a", new byte[0], false, 1)), false, 1));
+                        : new Result.Rows(
+                                List.of(
+                                        new Row(
+                                                "a",
+                                                new byte[0],
+                                                false,
+                                                new StoreVersion(mEra, 1),
+                                                false)),
+                                false,
+                                new StoreVersion(mEra, 1)));
     }
 
     /** A store with one row that answers at once; changes get no answer. */
@@ -165,6 +198,7 @@
 
         @Override
         public CompletionStage<Result> pull(String table) {
+            call("pull");
             return CompletableFuture.completedFuture(new Result.Failed("no peer", false));
         }
     }
