Take rows that others carried over only until they are settled

Cause: an instance refused rows that others carry over only after it had settled rows of its own. One that had none, or that started later in the same era, took them at any time. An instance that was cut off for longer than 60 s and returned brought a removed upstream back at such instances.

Evidence: anInstanceThatWasIsolatedForLongDoesNotBringRowsBack failed before, at the instance that started 20 s after the restore, and passes.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableMirror.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableMirror.java
@@ -160,6 +160,11 @@
         mHoldsCarried = false;
     }
 
+    /** Takes no more rows that another instance carried over into this era. */
+    void endCarrying() {
+        mSettled = true;
+    }
+
     /** Takes the complete table of a new era; what is known to be newer is carried over. */
     private void adopt(List<Row> rows, StoreVersion point, List<Row> changes) {
         mReadTo = point;
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
@@ -261,10 +261,28 @@
             mSettles = false;
             pass(() -> mListener.restored(point.era()));
         }
+        if (mMirror.readTo().era() > before.era()) {
+            scheduleCarriedEnd();
+        }
         scheduleSettlement();
         return changed;
     }
 
+    /** Rows that others carried over are taken from them only until all have settled. */
+    private void scheduleCarriedEnd() {
+        if (!mListener.refreshesRows()) {
+            return;
+        }
+        long era = mMirror.readTo().era();
+        schedule(
+                () -> {
+                    if (mMirror.readTo().era() == era) {
+                        mMirror.endCarrying();
+                    }
+                },
+                SETTLE_DELAY.plus(MAX_READ_DELAY));
+    }
+
     private void scheduleSettlement() {
         if (mSettleAt != null || !mMirror.holdsCarried() || !mListener.refreshesRows()) {
             return;
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/RestoredStoreTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/RestoredStoreTest.java
@@ -229,6 +229,32 @@
         assertThat(follower.table()).containsEntry("a", "leaving");
     }
 
+    /** Long after the return, rows that an isolated instance still holds are outdated. */
+    @Test
+    void anInstanceThatWasIsolatedForLongDoesNotBringRowsBack() {
+        put("b", "1");
+        put("a", "1");
+        Instance reader = start(true);
+        Instance isolated = start(true);
+        run(BOUND);
+        isolated.isolated(true);
+        run(BOUND);
+        mStore.remove(TABLE, "a");
+        run(Duration.ofSeconds(70));
+
+        mStore.restore(mStore.copy());
+        run(Duration.ofSeconds(20));
+        Instance later = start(false);
+        run(Duration.ofSeconds(20));
+        put("b", "2");
+        isolated.isolated(false);
+        run(BOUND);
+
+        assertThat(isolated.table()).containsEntry("b", "2");
+        assertThat(reader.table()).doesNotContainKey("a");
+        assertThat(later.table()).as("it has no record of the deletion").doesNotContainKey("a");
+    }
+
     /** Case 4: a configuration must not go back. */
     @Test
     void anOlderRowOfTheCopyDoesNotReplaceANewerOne() {
