Take no page without rows for the last one while more follow

Cause: rows that can't be identified are left out of a page, and a page that has no others ended the read as if it were the last one. The rows after it counted as removed.

Change: the read fails, which keeps the table that is known, and is tried again. The store states no other position to go on from than a row's key.

Evidence: aPageWithoutRowsThatOthersFollowIsNotTheLastOne failed before ("all [a]") and passes; TableWatcherTest 35, TableWatcherFailureTest 7 and RestoredStoreTest 27 pass.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
@@ -443,8 +443,12 @@
                 callFailed("the table is larger than " + MAX_TABLE_BYTES + " bytes");
                 return;
             }
+            if (rows.more() && rows.rows().isEmpty()) {
+                callFailed("a page without rows is not the last one");
+                return;
+            }
             mRows.addAll(rows.rows());
-            if (rows.more() && !rows.rows().isEmpty()) {
+            if (rows.more()) {
                 // The smallest key after the last one, in byte order.
                 readFrom(rows.rows().getLast().key() + "\0");
                 return;
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/TableWatcherTest.java
@@ -94,6 +94,15 @@
         assertThat(mEvents).endsWith("all [a]");
     }
 
+    /** All rows of a page may be unreadable; taken for the last page, it removes those after it. */
+    @Test
+    void aPageWithoutRowsThatOthersFollowIsNotTheLastOne() {
+        answer(new Result.Rows(List.of(row("a")), true, 5));
+        answer(new Result.Rows(List.of(), true, 5));
+
+        assertThat(mEvents).containsExactly("lost a page without rows is not the last one");
+    }
+
     /** New pages may follow without end as well. */
     @Test
     void aTableWithoutEndIsReadUpToItsMaximumSize() {
