Check that a replaced row holds at an instance that started later

An instance that started after a row was replaced has no record of that, and the copy lists the old row: an upstream that is leaving would get requests again. It takes the newer row from the others' announcement, whether it reads the store itself or not.

--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/RestoredStoreTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/store/RestoredStoreTest.java
@@ -255,6 +255,25 @@
         assertThat(later.table()).as("it has no record of the deletion").doesNotContainKey("a");
     }
 
+    /** The copy lists the upstream as it was before; its owner has not written it again yet. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aRowThatWasReplacedBeforeAnotherInstanceStartedHoldsThere(boolean readsItself) {
+        put("a", "ready");
+        MemoryStore.Copy copy = mStore.copy();
+        Instance reader = start(true);
+        put("a", "leaving");
+        run(BOUND);
+        Instance later = start(readsItself);
+        run(BOUND);
+
+        mStore.restore(copy);
+        run(BOUND);
+
+        assertThat(reader.table()).containsEntry("a", "leaving");
+        assertThat(later.table()).containsEntry("a", "leaving");
+    }
+
     /** Case 4: a configuration must not go back. */
     @Test
     void anOlderRowOfTheCopyDoesNotReplaceANewerOne() {
