--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
@@ -67,6 +67,9 @@
     /** Memory of a row beside its key and value, bytes; an estimate. */
     static final int ROW_BYTES = 128;
 
+    private static final Result NOT_PULLED =
+            new Result.Failed("other instances could not be asked", false);
+
     private final RowStore mStore;
     private final String mTable;
     private final TableListener mListener;
@@ -259,10 +262,28 @@
             mSettles = false;
             pass(() -> mListener.restored(point.era()));
         }
+        if (mMirror.readTo().era() > before.era()) {
+            scheduleCarriedEnd();
+        }
         scheduleSettlement();
         return changed;
     }
 
+    /** Rows that others carried over are taken from them only until all have settled. */
+    private void scheduleCarriedEnd() {
+        if (!mListener.refreshesRows()) {
+            return;
+        }
+        long era = mMirror.readTo().era();
+        schedule(
+                () -> {
+                    if (mMirror.readTo().era() == era) {
+                        mMirror.endCarrying();
+                    }
+                },
+                SETTLE_DELAY.plus(MAX_READ_DELAY));
+    }
+
     private void scheduleSettlement() {
         if (mSettleAt != null || !mMirror.holdsCarried() || !mListener.refreshesRows()) {
             return;
@@ -423,8 +444,12 @@
                 callFailed("the table is larger than " + MAX_TABLE_BYTES + " bytes");
                 return;
             }
+            if (rows.more() && rows.rows().isEmpty()) {
+                callFailed("a page without rows is not the last one");
+                return;
+            }
             mRows.addAll(rows.rows());
-            if (rows.more() && !rows.rows().isEmpty()) {
+            if (rows.more()) {
                 // The smallest key after the last one, in byte order.
                 readFrom(rows.rows().getLast().key() + "\0");
                 return;
@@ -434,7 +459,10 @@
             } else if (!mPullsAtStart) {
                 // The copy lacks the latest changes, which other instances may know.
                 mPullsAtStart = true;
-                onResult(mFeed.pull(mTable), this::applyAfterPull);
+                Runnable pull = () -> onResult(mFeed.pull(mTable), this::applyAfterPull);
+                if (!mGuard.run("rows of table " + mTable, pull)) {
+                    applyAfterPull(NOT_PULLED);
+                }
             }
         }
 
