--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/fleet/TableExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/fleet/TableExchangeTest.java
@@ -35,8 +35,7 @@
                     new TableExchange(asking, member("a", 1), Runnable::run, new Random(1));
             exchange.setListed(List.of(MeshPeer.of(member("b", port))));
 
-            Result result =
-                    exchange.pull("table").toCompletableFuture().get(10, TimeUnit.SECONDS);
+            Result result = exchange.pull("table").toCompletableFuture().get(10, TimeUnit.SECONDS);
 
             assertThat(result).isInstanceOf(Result.Failed.class);
             assertThat(asking.counters().framesReceived(MessageType.TABLE_NEWS))
