Take an older row of a copy back when another instance knows the newer one

Callers would see: an upstream that is leaving gets work again, or a removed row is in force, at an instance that started between the change of the row and the restore. Cause: such an instance takes the copy's old row for one written after the return. It then counted the newer row as replaced and ignored it when another instance carried it over. A carried row has the version of the read that adopted the era, which is that of the copy's last row when nothing has been written since, and lost the tie. And an instance that adopted the era from an announcement did not pass on what it knew better. Change: a row that is replaced on adoption, without knowing which is older, is not counted as replaced; of two rows of one version, the carried one is later; a reader announces rows that it carries over although an announcement of the era contradicts them. Followers can't announce: what only they know is settled after 6.3 s, or by the configuration's own version.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableMirror.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableMirror.java
@@ -181,7 +181,8 @@
             } else if (mSuperseded.contains(row, now) || isNewerByContent(before, row)) {
                 restamp(before, carriedOver(before, point));
             } else {
-                apply(row, changes);
+                // It may be an old row that this mirror has not seen, which another instance knows.
+                apply(row, changes, false);
             }
         }
         for (Row lost : known.values()) {
@@ -224,10 +225,21 @@
     }
 
     private void apply(Row row, List<Row> changes) {
+        apply(row, changes, true);
+    }
+
+    /**
+     * Applies a row unless it is outdated.
+     *
+     * @param row the row
+     * @param changes receives the row if it is applied
+     * @param replaces whether the row before is certainly older
+     */
+    private void apply(Row row, List<Row> changes, boolean replaces) {
         Row known = mRows.get(row.key());
         Row tombstone = mTombstones.get(row.key());
         Row latest = known != null ? known : tombstone;
-        boolean outdated = latest != null && !latest.written().isBefore(row.written());
+        boolean outdated = latest != null && !isLater(row, latest);
         // Instances settle at different times, and the earlier ones must not take the row again.
         boolean settled = row.carried() && mSettled && row.written().era() == mReadTo.era();
         if (outdated || settled || row.carried() && isReplaced(row, known, tombstone)) {
@@ -238,7 +250,7 @@
             restamp(known, carriedOver(known, row.written()));
             return;
         }
-        if (known != null) {
+        if (known != null && replaces) {
             mSuperseded.add(known, mTicker.nanos());
         }
         if (row.removed()) {
@@ -247,7 +259,7 @@
                 changes.add(row);
             }
         } else {
-            if (tombstone != null) {
+            if (tombstone != null && replaces) {
                 mSuperseded.add(tombstone, mTicker.nanos());
             }
             mTombstones.remove(row.key());
@@ -256,6 +268,13 @@
         }
     }
 
+    /** Returns whether a row is later; who carried it over has seen what the store then listed. */
+    private static boolean isLater(Row row, Row latest) {
+        boolean sameVersion = row.written().equals(latest.written());
+        return latest.written().isBefore(row.written())
+                || sameVersion && row.carried() && !latest.carried();
+    }
+
     /**
      * Returns whether a row that another instance carried over is known to have been replaced. That
      * instance may have been cut off before, and the version states only when it read the table.
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/TableWatcher.java
@@ -228,6 +228,7 @@
         if (changes.isComplete()) {
             mReaderHeardAt = mTicker.nanos();
             applySnapshot(changes.rows(), changes.end());
+            announceCarried(changes);
             markReachable();
             pass(() -> mListener.replaced(mMirror.rows()));
             if (delayed != null && delayed.cancel(false)) {
@@ -245,6 +246,16 @@
         }
     }
 
+    /** Passes rows on that the instance which announced an era did not know to be newer. */
+    private void announceCarried(TableChanges announced) {
+        long known = announced.rows().stream().filter(Row::carried).count();
+        if (mMirror.carried() > known) {
+            StoreVersion start = new StoreVersion(announced.era(), 0);
+            List<Row> rows = mMirror.rowsForPeers();
+            pass(() -> mFeed.reportRead(mTable, start, announced.end(), rows));
+        }
+    }
+
     /** Applies a complete table, and adopts its era if that is new. */
     private List<Row> applySnapshot(List<Row> rows, StoreVersion point) {
         StoreVersion before = mMirror.readTo();
