--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/Upstream.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/Upstream.java
@@ -11,6 +11,7 @@
  * @param zone its availability zone
  * @param slots maximum number of concurrent requests
  * @param draining true when it accepts no new requests
+ * @param version version of its software; empty when it is not known
  */
 public record Upstream(
         String id,
@@ -19,7 +20,8 @@
         String address,
         String zone,
         int slots,
-        boolean draining) {
+        boolean draining,
+        String version) {
     public Upstream {
         if (id.isEmpty() || service.isEmpty()) {
             throw new IllegalArgumentException("id and service of an upstream must not be empty");
@@ -29,6 +31,28 @@
         }
     }
 
+    /**
+     * Creates an upstream whose version is not known.
+     *
+     * @param id identifier; may stay the same after a restart
+     * @param incarnation start time of the process, milliseconds since the epoch
+     * @param service the service that it belongs to
+     * @param address IP address and port
+     * @param zone its availability zone
+     * @param slots maximum number of concurrent requests
+     * @param draining true when it accepts no new requests
+     */
+    public Upstream(
+            String id,
+            long incarnation,
+            String service,
+            String address,
+            String zone,
+            int slots,
+            boolean draining) {
+        this(id, incarnation, service, address, zone, slots, draining, "");
+    }
+
     /**
      * Returns an identifier of the process, which changes with each restart.
      *
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/TrafficHandler.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/TrafficHandler.java
@@ -105,7 +105,8 @@
                 route.maxPause().toNanos(),
                 route.maxAttempts(),
                 head.lastEvent(),
-                route.kind().isStream() ? null : content(request, team));
+                route.kind().isStream() ? null : content(request, team),
+                route.name());
     }
 
     /** Returns the fingerprint that recognizes a call that is sent again. */
