--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import org.gentianwalk.gateway.control.ControlPlane;
 import org.gentianwalk.gateway.control.DispatchSchedulers;
 import org.gentianwalk.gateway.control.EngineQueryClient;
+import org.gentianwalk.gateway.control.NettyTrafficLoop;
 import org.gentianwalk.gateway.control.SchedulerFactory;
 import org.gentianwalk.gateway.http.EdgeOptions;
 import org.gentianwalk.gateway.http.EdgeServer;
@@ -95,7 +96,14 @@
                 new EngineQueryClient(mClient, dialect, mTraffic.next(), ticker);
         mControlPlane =
                 new ControlPlane(
-                        settings, mControl, mTraffic, ticker, rows, queries, schedulers, mGuard);
+                        settings,
+                        mControl,
+                        new NettyTrafficLoop(mTraffic.next()),
+                        ticker,
+                        rows,
+                        queries,
+                        schedulers,
+                        mGuard);
         Exchange.Collaborators collaborators =
                 new Exchange.Collaborators(mClient, dialect, mControlPlane, ticker);
         TrafficHandler handler =
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ActiveRequests.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ActiveRequests.java
@@ -30,6 +30,12 @@
      */
     private static final int MAX_OVERDUE_CALLS = 5;
 
+    /**
+     * Age from which on a request is only sent after its connection was read once more. On a slow
+     * machine the caller may have left meanwhile, which the traffic loop has not read yet.
+     */
+    private static final long READ_BEFORE_START_NANOS = Duration.ofMillis(50).toNanos();
+
     private final Map<Long, Request> mRequests = new HashMap<>();
 
     /** Number of calls of {@link #endOverdue} that found each request past its deadline. */
@@ -37,7 +43,7 @@
 
     private final ProgressBuffer mProgress = new ProgressBuffer();
     private final Executor mControl;
-    private final Executor mTraffic;
+    private final TrafficLoop mTraffic;
     private final Ticker mTicker;
     private final GatewayLog mLog;
     private final FailureGuard mGuard;
@@ -52,7 +58,11 @@
      * @param guard runs the parts that may fail by themselves
      */
     ActiveRequests(
-            Executor control, Executor traffic, Ticker ticker, GatewayLog log, FailureGuard guard) {
+            Executor control,
+            TrafficLoop traffic,
+            Ticker ticker,
+            GatewayLog log,
+            FailureGuard guard) {
         mControl = control;
         mTraffic = traffic;
         mTicker = ticker;
@@ -122,9 +132,7 @@
         switch (decision) {
             case Decision.Start start -> {
                 logGuarded(() -> mLog.attemptPlaced(start, configVersion, mTicker.nanos()));
-                runOnTraffic(
-                        () -> request.exchange().start(start),
-                        () -> abandon(start.work().id(), "an attempt was not started"));
+                start(start, request.exchange());
             }
             case Decision.Cancel cancel -> {
                 logGuarded(() -> mLog.attemptCancelled(cancel, mTicker.nanos()));
@@ -140,6 +148,22 @@
         }
     }
 
+    private void start(Decision.Start start, Exchange exchange) {
+        Work work = start.work();
+        Runnable failed = () -> abandon(work.id(), "an attempt was not started");
+        Runnable begin = guardedOnTraffic(() -> exchange.start(start), failed);
+        runOnTraffic(
+                () -> {
+                    long age = mTicker.nanos() - work.arrivedNanos();
+                    if (start.beside().isEmpty() && age >= READ_BEFORE_START_NANOS) {
+                        mTraffic.executeAfterRead(begin);
+                    } else {
+                        begin.run();
+                    }
+                },
+                failed);
+    }
+
     /** Answers a request that no scheduler knows. */
     void refuse(Decision.Finish refusal, Exchange exchange) {
         runOnTraffic(() -> exchange.finish(refusal), () -> {});
@@ -186,15 +210,17 @@
         boolean accepted =
                 mGuard.run(
                         "hand-over to the traffic loop",
-                        () ->
-                                mTraffic.execute(
-                                        () -> {
-                                            if (!mGuard.run("decision on the traffic loop", task)) {
-                                                mControl.execute(failed);
-                                            }
-                                        }));
+                        () -> mTraffic.execute(guardedOnTraffic(task, failed)));
         if (!accepted) {
             failed.run();
         }
     }
+
+    private Runnable guardedOnTraffic(Runnable task, Runnable failed) {
+        return () -> {
+            if (!mGuard.run("decision on the traffic loop", task)) {
+                mControl.execute(failed);
+            }
+        };
+    }
 }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -97,7 +96,7 @@
 
     private final GatewaySettings mSettings;
     private final ScheduledExecutorService mControl;
-    private final Executor mTraffic;
+    private final TrafficLoop mTraffic;
     private final Ticker mTicker;
     private final RowFormat mRowFormat;
     private final EngineQueryClient mQueries;
@@ -150,7 +149,7 @@
     public ControlPlane(
             GatewaySettings settings,
             ScheduledExecutorService control,
-            Executor traffic,
+            TrafficLoop traffic,
             Ticker ticker,
             RowFormat rowFormat,
             EngineQueryClient queries,
