Start a second attempt for calls that get no answer, and avoid their upstream

Cause: an upstream that answers its liveness checks and a part of its calls leaves the others without an answer. This was learned at the time limit of a call only.

Change: a repeatable call that has had no answer for twice the 90th percentile of the last 64 durations, and at least 100 ms, gets an attempt at another upstream beside the first one, within its maximum number of attempts and the optional part of the retry budget. The first answer wins. An error of one attempt is passed on when the other one is overdue. Calls that are overdue, or were given up when overdue in the last 20 s, count against their upstream with the time that a call is expected to lose there. At most a third of the upstreams have such a cost.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallRun.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallRun.java
@@ -1,19 +1,24 @@
 package org.gentianwalk.core.dispatch;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
-/** State of a call: its attempt in progress, if any, and what earlier attempts have shown. */
+/** State of a call: its attempts in progress, if any, and what earlier attempts have shown. */
 final class CallRun {
     /** Pause before a call reaches an upstream again; doubles with each of its attempts. */
     private static final long FIRST_PAUSE_NANOS = Duration.ofMillis(150).toNanos();
 
     private static final long MAX_PAUSE_NANOS = Duration.ofMillis(1_200).toNanos();
 
+    /** Minimum time between two searches for an upstream beside a silent one. */
+    private static final long BESIDE_INTERVAL_NANOS = Duration.ofMillis(50).toNanos();
+
     private final Work mWork;
     private final SuspectSubject mSubject;
 
@@ -23,10 +28,12 @@
     /** The possible losses of upstreams under the call. */
     private final Set<LossEvidence.Outcome> mLosses = new HashSet<>();
 
-    private @Nullable CallTarget mTarget;
+    private final Map<Integer, CallAttempt> mAttempts = new LinkedHashMap<>();
     private int mAttempt;
-    private long mStartedAt;
     private long mEndedAt;
+    private long mTriedBesideAt;
+    private boolean mTriedBeside;
+    private boolean mAnswering;
     private int mUnexecutedAttempts;
     private int mRejections;
     private int mExecutions;
@@ -46,19 +53,45 @@
         return mSubject;
     }
 
-    /** Returns the upstream of the attempt in progress, or null. */
-    @Nullable CallTarget target() {
-        return mTarget;
+    /** Returns the attempts in progress, in the order of their start. */
+    Collection<CallAttempt> attempts() {
+        return mAttempts.values();
+    }
+
+    /** Returns an attempt in progress, or null. */
+    @Nullable CallAttempt attempt(int number) {
+        return mAttempts.get(number);
     }
 
-    /** Returns the number of the last attempt, starting at 1. */
-    int attempt() {
-        return mAttempt;
+    /** Returns whether all attempts in progress, of which there are some, are overdue. */
+    boolean isOverdue(long overdueNanos, long nowNanos) {
+        return !mAttempts.isEmpty()
+                && mAttempts.values().stream()
+                        .allMatch(attempt -> nowNanos - attempt.startedAt() >= overdueNanos);
     }
 
-    /** Returns the start of the last attempt. */
-    long startedAt() {
-        return mStartedAt;
+    /** Records that a part of an answer was forwarded, which no other attempt can replace. */
+    void recordAnswering() {
+        mAnswering = true;
+    }
+
+    /** Returns whether a part of an answer was forwarded. */
+    boolean isAnswering() {
+        return mAnswering;
+    }
+
+    /**
+     * Records a search for an upstream for an attempt beside the one in progress.
+     *
+     * @return false when the last search is too recent
+     */
+    boolean tryBeside(long nowNanos) {
+        if (mTriedBeside && nowNanos - mTriedBesideAt < BESIDE_INTERVAL_NANOS) {
+            return false;
+        }
+        mTriedBeside = true;
+        mTriedBesideAt = nowNanos;
+        return true;
     }
 
     /** Returns the number of attempts that upstreams certainly did not execute. */
@@ -76,27 +109,32 @@
         return mExecutions;
     }
 
-    /** Returns whether the last attempt was answered with an error. */
+    /** Returns whether there is an error answer that no later attempt has replaced. */
     boolean isAnsweredWithError() {
         return mAnsweredError;
     }
 
-    void recordStart(CallTarget target, long nowNanos) {
+    /** Records the start of an attempt, beside those in progress. */
+    CallAttempt recordStart(CallTarget target, long nowNanos) {
+        // The error answer of an earlier attempt is kept only while another one goes on.
+        mAnsweredError &= !mAttempts.isEmpty();
         mAttempt++;
-        mTarget = target;
-        mStartedAt = nowNanos;
-    }
-
-    /** Records the end of the attempt in progress. */
-    void recordEnd(AttemptEnd end, LossEvidence.@Nullable Outcome loss, long nowNanos) {
-        CallTarget target = mTarget;
-        if (target == null) {
-            return;
-        }
-        mTarget = null;
+        CallAttempt attempt = new CallAttempt(mAttempt, target, nowNanos);
+        mAttempts.put(mAttempt, attempt);
+        return attempt;
+    }
+
+    /** Records the end of an attempt in progress. */
+    void recordEnd(
+            CallAttempt attempt,
+            AttemptEnd end,
+            LossEvidence.@Nullable Outcome loss,
+            long nowNanos) {
+        mAttempts.remove(attempt.number());
         mEndedAt = nowNanos;
-        long pause = FIRST_PAUSE_NANOS << Math.min(mAttempt - 1, 8);
-        mReachableAt.put(target.upstream().id(), nowNanos + Math.min(pause, MAX_PAUSE_NANOS));
+        long pause = FIRST_PAUSE_NANOS << Math.min(attempt.number() - 1, 8);
+        mReachableAt.put(
+                attempt.target().upstream().id(), nowNanos + Math.min(pause, MAX_PAUSE_NANOS));
         if (loss != null) {
             mLosses.add(loss);
         }
@@ -104,27 +142,39 @@
         mUnexecutedAttempts += end.isNotExecuted() ? 1 : 0;
         mRejections += end == AttemptEnd.REJECTED ? 1 : 0;
         mExecutions += end.isNotExecuted() ? 0 : 1;
-        mAnsweredError = end == AttemptEnd.ANSWERED_ERROR;
+        mAnsweredError |= end == AttemptEnd.ANSWERED_ERROR;
     }
 
-    /** Gives up the attempt in progress. */
-    void release() {
-        CallTarget target = mTarget;
-        mTarget = null;
-        if (target != null) {
-            target.release(mStartedAt);
+    /**
+     * Gives up the attempts in progress.
+     *
+     * @param overdueNanos time from which an attempt counts as one that was not answered
+     */
+    void release(long overdueNanos, long nowNanos) {
+        for (CallAttempt attempt : mAttempts.values()) {
+            attempt.target().release(attempt.startedAt());
+            if (!mAnswering && nowNanos - attempt.startedAt() >= overdueNanos) {
+                attempt.target().recordSilence(nowNanos);
+            }
         }
+        mAttempts.clear();
+    }
+
+    private boolean isAt(CallTarget target) {
+        return mAttempts.values().stream()
+                .anyMatch(
+                        attempt -> attempt.target().upstream().id().equals(target.upstream().id()));
     }
 
     /** Returns whether the call has reached an upstream, whatever became of it. */
     boolean hasReached(CallTarget target) {
-        return mReachableAt.containsKey(target.upstream().id());
+        return isAt(target) || mReachableAt.containsKey(target.upstream().id());
     }
 
     /** Returns whether the call may reach an upstream now, for the first time or again. */
     boolean mayReach(CallTarget target, long nowNanos) {
         Long at = mReachableAt.get(target.upstream().id());
-        return at == null || nowNanos - at >= 0;
+        return !isAt(target) && (at == null || nowNanos - at >= 0);
     }
 
     /** Returns the number of processes that may have been lost under the call. */
@@ -157,4 +207,14 @@
         mRetryTaken = mRetryTaken || retries.tryRetry(nowNanos);
         return mRetryTaken;
     }
+
+    /**
+     * Takes a retry from the budget for an attempt beside one that may still be answered.
+     *
+     * @return false when the rest of the budget is kept for other calls
+     */
+    boolean takeOptionalRetry(FleetRetryBudget retries, long nowNanos) {
+        mRetryTaken = mRetryTaken || retries.tryOptionalRetry(nowNanos);
+        return mRetryTaken;
+    }
 }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import org.gentianwalk.core.dispatch.Decision.Ending;
 import org.gentianwalk.core.policy.suspect.SuspectEntry;
 import org.gentianwalk.core.policy.suspect.SuspectTable.Verdict;
+import org.gentianwalk.core.route.RequestKind;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -96,36 +98,52 @@
 
     @Override
     public void recordProgress(long work, int attempt, Progress progress) {
-        // A plain call has no output before its answer.
+        CallRun call = mCalls.get(work);
+        if (call != null) {
+            call.recordAnswering();
+        }
     }
 
     @Override
     public void recordLoad(long work, UpstreamLoad load, long nowNanos) {
         CallRun call = mCalls.get(work);
-        CallTarget target = call == null ? null : call.target();
-        if (target != null) {
-            target.recordLoad(load, nowNanos);
+        if (call != null && call.attempts().size() == 1) {
+            call.attempts().iterator().next().target().recordLoad(load, nowNanos);
+        }
+    }
+
+    @Override
+    public void recordLoad(long work, int attempt, UpstreamLoad load, long nowNanos) {
+        CallRun call = mCalls.get(work);
+        CallAttempt running = call == null ? null : call.attempt(attempt);
+        if (running != null) {
+            running.target().recordLoad(load, nowNanos);
         }
     }
 
     @Override
     public void recordAttemptEnd(long work, int attempt, AttemptEnd end, long nowNanos) {
         CallRun call = mCalls.get(work);
-        CallTarget target = call == null ? null : call.target();
-        if (call == null || call.attempt() != attempt || target == null) {
+        CallAttempt ended = call == null ? null : call.attempt(attempt);
+        if (call == null || ended == null) {
             return;
         }
-        long duration = nowNanos - call.startedAt();
-        target.release(call.startedAt());
-        target.recordEnd(end, call.startedAt(), nowNanos);
+        CallTarget target = ended.target();
+        long duration = nowNanos - ended.startedAt();
+        target.release(ended.startedAt());
+        target.recordEnd(end, ended.startedAt(), nowNanos);
+        if (end == AttemptEnd.SUPERSEDED && duration >= mTargets.overdueNanos()) {
+            target.recordSilence(nowNanos);
+        }
         call.recordEnd(
+                ended,
                 end,
                 mEvidence.recordEnd(
                         call.work().requestId(),
                         call.subject(),
                         target,
                         end,
-                        call.startedAt(),
+                        ended.startedAt(),
                         nowNanos),
                 nowNanos);
         if (end.isProcessLost() && call.work().kind().isRepeatable()) {
@@ -134,10 +152,13 @@
         }
         if (end == AttemptEnd.SUCCEEDED) {
             mTargets.recordDuration(duration);
-            mCalls.remove(work);
+            remove(work, nowNanos);
+        } else if (!call.attempts().isEmpty()) {
+            // The attempt beside it goes on.
+            advanceOverdue(call, nowNanos);
         } else if (call.executions() == 0) {
             handleNotExecuted(call, end, nowNanos);
-        } else if (end == AttemptEnd.ANSWERED_ERROR) {
+        } else if (call.isAnsweredWithError()) {
             handleError(call, nowNanos);
         } else if (isRepeatAllowed(call)) {
             repeat(call, nowNanos);
@@ -151,7 +172,7 @@
         CallRun call = mCalls.remove(work);
         if (call != null) {
             mWaiting.remove(call);
-            call.release();
+            call.release(mTargets.overdueNanos(), nowNanos);
         }
     }
 
@@ -169,12 +190,10 @@
         mEvidence.advance(nowNanos);
         for (CallRun call : List.copyOf(mCalls.values())) {
             if (nowNanos - call.work().deadlineNanos() < 0) {
+                advanceOverdue(call, nowNanos);
                 continue;
             }
-            CallTarget target = call.target();
-            if (target != null) {
-                target.recordTimeout(nowNanos);
-            }
+            call.attempts().forEach(attempt -> attempt.target().recordTimeout(nowNanos));
             finishLate(call, nowNanos);
         }
         List.copyOf(mWaiting).forEach(call -> repeat(call, nowNanos));
@@ -295,6 +314,10 @@
             send(call, target, nowNanos);
             return;
         }
+        passErrorOn(call, nowNanos);
+    }
+
+    private void passErrorOn(CallRun call, long nowNanos) {
         finish(
                 call,
                 Ending.UPSTREAM_ERROR,
@@ -303,6 +326,39 @@
                 nowNanos);
     }
 
+    /**
+     * Starts an attempt beside one that has had no answer for unusually long, since an upstream may
+     * never answer some calls. An error answer that is kept for the case that another attempt
+     * succeeds is passed on rather than kept back for such an attempt.
+     */
+    private void advanceOverdue(CallRun call, long nowNanos) {
+        if (call.work().kind() != RequestKind.IDEMPOTENT_CALL
+                || call.isAnswering()
+                || !call.isOverdue(mTargets.overdueNanos(), nowNanos)) {
+            return;
+        }
+        if (call.isAnsweredWithError()) {
+            passErrorOn(call, nowNanos);
+            return;
+        }
+        if (call.attempts().size() > 1
+                || call.executions() + 1 >= call.work().maxAttempts()
+                || call.rejections() >= MAX_UNEXECUTED_ATTEMPTS
+                || call.losses() > 0
+                || call.work().deadlineNanos() - nowNanos < mTargets.usualNanos()
+                || !call.tryBeside(nowNanos)
+                || !mTargets.canFinish(call, nowNanos)
+                || verdict(call, nowNanos) != Verdict.UNKNOWN) {
+            return;
+        }
+        CallTarget target = mTargets.chooseForRepeat(call, nowNanos);
+        if (target != null
+                && mTargets.canFinishAt(target, call, nowNanos)
+                && call.takeOptionalRetry(mRetries, nowNanos)) {
+            send(call, target, nowNanos);
+        }
+    }
+
     /** Returns whether a call that may have been executed may be executed once more. */
     private static boolean isRepeatAllowed(CallRun call) {
         return call.work().kind().isRepeatable()
@@ -391,20 +447,22 @@
     }
 
     private void send(CallRun call, CallTarget target, long nowNanos) {
-        call.recordStart(target, nowNanos);
+        Set<Integer> beside = new HashSet<>();
+        call.attempts().forEach(attempt -> beside.add(attempt.number()));
+        CallAttempt started = call.recordStart(target, nowNanos);
         target.recordStart(nowNanos);
         mLimits.recordSent(target.upstream(), nowNanos);
         mDecisions.add(
                 new Decision.Start(
                         call.work(),
-                        call.attempt(),
+                        started.number(),
                         target.upstream(),
                         -1,
                         null,
                         null,
                         null,
-                        Set.of(),
-                        "least expected time"));
+                        beside,
+                        beside.isEmpty() ? "least expected time" : "beside one without an answer"));
     }
 
     private void finishUnknown(CallRun call, String cause, long nowNanos) {
@@ -441,12 +499,12 @@
      * @param executed ending of a call that may have been executed
      */
     private static Ending endingWithoutAttempt(CallRun call, Ending executed) {
-        if (call.target() != null) {
-            return executed;
-        }
         if (call.isAnsweredWithError()) {
             return Ending.UPSTREAM_ERROR;
         }
+        if (!call.attempts().isEmpty()) {
+            return executed;
+        }
         return call.executions() == 0 ? Ending.REFUSED : executed;
     }
 
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.gentianwalk.core.dispatch.CallOutcomes.Outcome;
 import org.gentianwalk.core.model.Location.Distance;
 import org.jspecify.annotations.Nullable;
 
@@ -41,6 +42,7 @@
     /** Start times of the calls in progress, in this order. */
     private final List<Long> mStarts = new ArrayList<>();
 
+    private final CallOutcomes mOutcomes = new CallOutcomes();
     private int mPeerRequests;
     private long mReportedAt;
     private boolean mReplaced;
@@ -179,6 +181,31 @@
         mStarts.remove((Long) startedNanos);
     }
 
+    /** Records that a call was given up after it had been overdue. */
+    void recordSilence(long nowNanos) {
+        mOutcomes.record(Outcome.SILENT, nowNanos);
+    }
+
+    /**
+     * Returns the fraction of the recent calls that were not answered. An upstream may leave a part
+     * of its calls unanswered while it answers others and its liveness checks, so answers reduce
+     * the fraction but don't reset it. It is 0 again some time after the last such call.
+     *
+     * @param overdueNanos time without an answer from which a call in progress counts
+     */
+    double silentFraction(long overdueNanos, long nowNanos) {
+        int silent = mOutcomes.count(Outcome.SILENT, nowNanos);
+        int overdue = 0;
+        for (long start : mStarts) {
+            if (nowNanos - start < overdueNanos) {
+                break;
+            }
+            overdue++;
+        }
+        // One answer is assumed, so that a single call does not condemn an upstream.
+        return (double) (silent + overdue) / (mOutcomes.total(nowNanos) + overdue + 1);
+    }
+
     /** Returns the start of the oldest call in progress, or the current time if there is none. */
     long oldestStart(long nowNanos) {
         return mStarts.isEmpty() ? nowNanos : mStarts.getFirst();
@@ -193,6 +220,7 @@
                 // The other entry at the address is not valid.
                 mRefutedSuccessor = mSuccessor;
                 mAnsweredAt = nowNanos;
+                mOutcomes.record(Outcome.ANSWERED, nowNanos);
             }
             case NOT_LISTENING, CRASHED -> {
                 // The process may have been started again before the list shows it.
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTargets.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTargets.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -20,6 +21,11 @@
 
     private static final double TIE_MILLIS = 0.5;
 
+    /** One in so many upstreams may be avoided at a time since it leaves calls unanswered. */
+    private static final int AVOIDED_DIVISOR = 3;
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
     /** Time for which a process is remembered whose entry has left the list. */
     private static final long UNLISTED_NANOS = Duration.ofSeconds(10).toNanos();
 
@@ -87,6 +93,16 @@
         mDuration.record(nanos);
     }
 
+    /** Returns the time without an answer from which a call is overdue, nanoseconds. */
+    long overdueNanos() {
+        return mDuration.overdueNanos();
+    }
+
+    /** Returns the time within which most calls are answered, nanoseconds. */
+    long usualNanos() {
+        return mDuration.usualNanos();
+    }
+
     /** Returns whether a call that is sent now will have its answer before the instance stops. */
     boolean canFinish(CallRun call, long nowNanos) {
         return canFinish(call, mDuration.boundNanos(), nowNanos);
@@ -132,13 +148,14 @@
             CallRun call, Predicate<CallTarget> isEligible, long nowNanos) {
         CallTarget best = null;
         double bestCost = 0;
+        Map<CallTarget, Double> silenceCosts = silenceCosts(call, nowNanos);
         for (CallTarget target : mTargets.values()) {
             if (!target.isUsable()
                     || !isEligible.test(target)
                     || !mLimits.isPermitted(target.upstream(), nowNanos)) {
                 continue;
             }
-            double cost = cost(target, call, nowNanos);
+            double cost = cost(target, call, nowNanos) + silenceCosts.getOrDefault(target, 0.0);
             if (best == null || cost < bestCost) {
                 best = target;
                 bestCost = cost;
@@ -147,6 +164,34 @@
         return best;
     }
 
+    /**
+     * Returns the time that a call is expected to lose at upstreams which leave calls unanswered,
+     * milliseconds. It loses the rest of its time, or the time until an attempt beside the first
+     * when it may be repeated. Only the worst upstreams have such a cost, so that a fault of the
+     * network or a slow moment of all does not move all load to a few.
+     */
+    private Map<CallTarget, Double> silenceCosts(CallRun call, long nowNanos) {
+        long overdue = mDuration.overdueNanos();
+        long left = call.work().deadlineNanos() - nowNanos;
+        long lost = call.work().kind().isRepeatable() ? Math.min(overdue, left) : left;
+        Map<CallTarget, Double> costs = new HashMap<>();
+        int usable = 0;
+        for (CallTarget target : mTargets.values()) {
+            if (!target.isUsable()) {
+                continue;
+            }
+            usable++;
+            double fraction = target.silentFraction(overdue, nowNanos);
+            if (fraction > 0) {
+                costs.put(target, fraction * lost / NANOS_PER_MILLI);
+            }
+        }
+        while (costs.size() > usable / AVOIDED_DIVISOR) {
+            costs.remove(Collections.min(costs.entrySet(), Map.Entry.comparingByValue()).getKey());
+        }
+        return costs;
+    }
+
     /** Returns the cost of a target, milliseconds; ties are broken at random. */
     private double cost(CallTarget target, CallRun call, long nowNanos) {
         Distance distance = mLocations.distance(target.upstream().zone());
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/WorkScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/WorkScheduler.java
@@ -46,6 +46,18 @@
      */
     void recordLoad(long work, UpstreamLoad load, long nowNanos);
 
+    /**
+     * Records the load that an upstream reported, where attempts may run beside each other.
+     *
+     * @param work number of the request that it answered
+     * @param attempt number of the attempt
+     * @param load the load
+     * @param nowNanos time of receipt
+     */
+    default void recordLoad(long work, int attempt, UpstreamLoad load, long nowNanos) {
+        recordLoad(work, load, nowNanos);
+    }
+
     /**
      * Records the end of the running attempt.
      *
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -371,7 +371,7 @@
                     drainInput();
                     mLog.attemptEnded(request.work(), attempt, end, cause, mTicker.nanos());
                     if (load != null) {
-                        request.scheduler().recordLoad(work, load, mTicker.nanos());
+                        request.scheduler().recordLoad(work, attempt, load, mTicker.nanos());
                     }
                     request.scheduler().recordAttemptEnd(work, attempt, end, mTicker.nanos());
                     executeDecisions(request.scheduler());
@@ -389,7 +389,7 @@
                         return;
                     }
                     if (load != null) {
-                        request.scheduler().recordLoad(work, load, mTicker.nanos());
+                        request.scheduler().recordLoad(work, attempt, load, mTicker.nanos());
                     }
                     request.scheduler()
                             .recordAttemptEnd(work, attempt, AttemptEnd.SUCCEEDED, mTicker.nanos());
