Pass on errors that the request causes, and avoid upstreams that fail calls

Cause: of the retries of repeatable calls after a 500, two thirds got a 500 again (279 of 426, 272 of 380), since the request causes the error.

Change: the responses of the last 20 s are counted per upstream. An error is passed on when the errors of its upstream are explained by the fraction of errors at the other upstreams (binomial test, 5%). It is retried while there is too little evidence: fewer than 3 responses of the upstream, 10 of the others, or 2 errors of the others. An upstream with a significant excess of errors is avoided for first attempts in proportion to the excess, and for repeated ones always, within the third of the upstreams that may be avoided at a time.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallOutcomes.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallOutcomes.java
@@ -21,7 +21,11 @@
     /** What became of a call. */
     enum Outcome {
         /** It was answered with a success. */
-        ANSWERED,
+        SUCCEEDED,
+        /** It was answered with an error. */
+        ERROR,
+        /** It was rejected for lack of capacity, and not executed. */
+        REJECTED,
         /** It was given up when it had been without an answer for unusually long. */
         SILENT
     }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallRun.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallRun.java
@@ -38,7 +38,9 @@
     private int mRejections;
     private int mExecutions;
     private boolean mRetryTaken;
-    private boolean mAnsweredError;
+
+    /** Upstream of the error answer that no later attempt has replaced, or null. */
+    private @Nullable CallTarget mErrorTarget;
 
     CallRun(Work work) {
         mWork = work;
@@ -111,13 +113,18 @@
 
     /** Returns whether there is an error answer that no later attempt has replaced. */
     boolean isAnsweredWithError() {
-        return mAnsweredError;
+        return mErrorTarget != null;
+    }
+
+    /** Returns the upstream of the error answer that no later attempt has replaced, or null. */
+    @Nullable CallTarget errorTarget() {
+        return mErrorTarget;
     }
 
     /** Records the start of an attempt, beside those in progress. */
     CallAttempt recordStart(CallTarget target, long nowNanos) {
         // The error answer of an earlier attempt is kept only while another one goes on.
-        mAnsweredError &= !mAttempts.isEmpty();
+        mErrorTarget = mAttempts.isEmpty() ? null : mErrorTarget;
         mAttempt++;
         CallAttempt attempt = new CallAttempt(mAttempt, target, nowNanos);
         mAttempts.put(mAttempt, attempt);
@@ -142,7 +149,9 @@
         mUnexecutedAttempts += end.isNotExecuted() ? 1 : 0;
         mRejections += end == AttemptEnd.REJECTED ? 1 : 0;
         mExecutions += end.isNotExecuted() ? 0 : 1;
-        mAnsweredError |= end == AttemptEnd.ANSWERED_ERROR;
+        if (end == AttemptEnd.ANSWERED_ERROR) {
+            mErrorTarget = attempt.target();
+        }
     }
 
     /**
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -301,9 +301,17 @@
         finish(call, Ending.REFUSED, wait, "no upstream has capacity for the call", nowNanos);
     }
 
-    /** Repeats a call that was answered with an error where it has not been, or passes that on. */
+    /**
+     * Repeats a call that was answered with an error where it has not been, or passes the error on.
+     * The same request gets the same error elsewhere unless the upstream is the cause of it.
+     */
     private void handleError(CallRun call, long nowNanos) {
-        CallTarget target = isRepeatAllowed(call) ? mTargets.chooseForRepeat(call, nowNanos) : null;
+        CallTarget failed = call.errorTarget();
+        boolean repeat =
+                isRepeatAllowed(call)
+                        && failed != null
+                        && mTargets.errorCause(failed, nowNanos) != CallFaults.Cause.REQUEST;
+        CallTarget target = repeat ? mTargets.chooseForRepeat(call, nowNanos) : null;
         if (target != null
                 && !call.hasReached(target)
                 && nowNanos - call.work().deadlineNanos() < 0
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
@@ -181,6 +181,19 @@
         mStarts.remove((Long) startedNanos);
     }
 
+    /** Returns the number of recent calls with an outcome. */
+    int outcomes(Outcome outcome, long nowNanos) {
+        return mOutcomes.count(outcome, nowNanos);
+    }
+
+    private static Outcome outcome(AttemptEnd answer) {
+        return switch (answer) {
+            case SUCCEEDED -> Outcome.SUCCEEDED;
+            case ANSWERED_ERROR -> Outcome.ERROR;
+            default -> Outcome.REJECTED;
+        };
+    }
+
     /** Records that a call was given up after it had been overdue. */
     void recordSilence(long nowNanos) {
         mOutcomes.record(Outcome.SILENT, nowNanos);
@@ -220,7 +233,7 @@
                 // The other entry at the address is not valid.
                 mRefutedSuccessor = mSuccessor;
                 mAnsweredAt = nowNanos;
-                mOutcomes.record(Outcome.ANSWERED, nowNanos);
+                mOutcomes.record(outcome(end), nowNanos);
             }
             case NOT_LISTENING, CRASHED -> {
                 // The process may have been started again before the list shows it.
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTargets.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTargets.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -21,11 +20,6 @@
 
     private static final double TIE_MILLIS = 0.5;
 
-    /** One in so many upstreams may be avoided at a time since it leaves calls unanswered. */
-    private static final int AVOIDED_DIVISOR = 3;
-
-    private static final double NANOS_PER_MILLI = 1e6;
-
     /** Time for which a process is remembered whose entry has left the list. */
     private static final long UNLISTED_NANOS = Duration.ofSeconds(10).toNanos();
 
@@ -38,12 +32,14 @@
     private final Map<String, CallTarget> mUnlisted = new HashMap<>();
 
     private final CallDuration mDuration = new CallDuration();
+    private final CallFaults mFaults;
     private @Nullable Long mStopsAt;
 
     CallTargets(LocationMap locations, UpstreamLimits limits, RandomGenerator random) {
         mLocations = locations;
         mLimits = limits;
         mRandom = random;
+        mFaults = new CallFaults(random);
     }
 
     /**
@@ -148,14 +144,15 @@
             CallRun call, Predicate<CallTarget> isEligible, long nowNanos) {
         CallTarget best = null;
         double bestCost = 0;
-        Map<CallTarget, Double> silenceCosts = silenceCosts(call, nowNanos);
+        Map<CallTarget, Double> faultCosts =
+                mFaults.costs(call, mTargets.values(), mDuration, nowNanos);
         for (CallTarget target : mTargets.values()) {
             if (!target.isUsable()
                     || !isEligible.test(target)
                     || !mLimits.isPermitted(target.upstream(), nowNanos)) {
                 continue;
             }
-            double cost = cost(target, call, nowNanos) + silenceCosts.getOrDefault(target, 0.0);
+            double cost = cost(target, call, nowNanos) + faultCosts.getOrDefault(target, 0.0);
             if (best == null || cost < bestCost) {
                 best = target;
                 bestCost = cost;
@@ -164,32 +161,9 @@
         return best;
     }
 
-    /**
-     * Returns the time that a call is expected to lose at upstreams which leave calls unanswered,
-     * milliseconds. It loses the rest of its time, or the time until an attempt beside the first
-     * when it may be repeated. Only the worst upstreams have such a cost, so that a fault of the
-     * network or a slow moment of all does not move all load to a few.
-     */
-    private Map<CallTarget, Double> silenceCosts(CallRun call, long nowNanos) {
-        long overdue = mDuration.overdueNanos();
-        long left = call.work().deadlineNanos() - nowNanos;
-        long lost = call.work().kind().isRepeatable() ? Math.min(overdue, left) : left;
-        Map<CallTarget, Double> costs = new HashMap<>();
-        int usable = 0;
-        for (CallTarget target : mTargets.values()) {
-            if (!target.isUsable()) {
-                continue;
-            }
-            usable++;
-            double fraction = target.silentFraction(overdue, nowNanos);
-            if (fraction > 0) {
-                costs.put(target, fraction * lost / NANOS_PER_MILLI);
-            }
-        }
-        while (costs.size() > usable / AVOIDED_DIVISOR) {
-            costs.remove(Collections.min(costs.entrySet(), Map.Entry.comparingByValue()).getKey());
-        }
-        return costs;
+    /** Returns the likely cause of an error that an upstream answered a call with. */
+    CallFaults.Cause errorCause(CallTarget target, long nowNanos) {
+        return mFaults.cause(target, mTargets.values(), nowNanos);
     }
 
     /** Returns the cost of a target, milliseconds; ties are broken at random. */
