Order waiting generations of a rank by their targets

Cause: the queue of generations ignored targets, so streams due after 4 s waited behind those due after 10 s. Change: services whose routes state different targets, and all services with queue_order: target, order a rank by the latest start, late requests last. Request-Urgency separates tight from loose targets of a rank; interrupted streams get 0.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -35,7 +34,8 @@
                 InputAware,
                 LivenessAware,
                 DeliveryAware,
-                EvidenceAware {
+                EvidenceAware,
+                TargetAware {
     /** Retry-after when no engine is usable or no retry is allowed. */
     private static final Duration NO_ENGINE_RETRY = Duration.ofMillis(500);
 
@@ -56,9 +56,6 @@
     /** Maximum number of rejections by engines before a generation is refused. */
     private static final int MAX_REJECTIONS = 8;
 
-    /** Last priority in the queue of an engine, which serves 0 first. */
-    private static final int LAST_PRIORITY = 9;
-
     /**
      * Minimum interval between two rounds of cache queries. Each query delays an engine's work, and
      * load reports of other instances usually contain the answer already.
@@ -68,12 +65,6 @@
     /** Maximum time for which a generation waits for the answers to cache queries. */
     private static final long CACHE_ANSWER_TIMEOUT_NANOS = Duration.ofMillis(200).toNanos();
 
-    /** Queue order: interrupted streams first, then by rank, then by arrival. */
-    private static final Comparator<StreamRun> QUEUE_ORDER =
-            Comparator.<StreamRun>comparingInt(run -> run.isInterrupted() ? 0 : 1)
-                    .thenComparingInt(run -> run.work().priority())
-                    .thenComparingLong(run -> run.work().arrivedNanos());
-
     private final EngineSpec mSpec;
     private final String mService;
     private final FleetRetryBudget mRetries;
@@ -84,6 +75,9 @@
     private final LossEvidence<EngineState> mEvidence = new LossEvidence<>(mSuspects);
     private final EngineSelector mSelector;
     private final LossDetector mLossDetector;
+    private final boolean mOrdersByTarget;
+    private final TargetOrder mTargetOrder;
+    private QueueOrder mOrder;
     private final Map<Long, StreamRun> mRuns = new HashMap<>();
     private final List<StreamRun> mWaiting = new ArrayList<>();
     private List<Decision> mDecisions = new ArrayList<>();
@@ -111,12 +105,38 @@
             FleetRetryBudget retries,
             UpstreamLimits limits,
             RandomGenerator random) {
+        this(service, spec, locations, retries, limits, false, random);
+    }
+
+    /**
+     * Creates a scheduler without engines.
+     *
+     * @param service name of the service
+     * @param spec properties of its engines
+     * @param locations distances from this instance
+     * @param retries retry budget of the service
+     * @param limits limits stated by engines
+     * @param ordersByTarget whether requests are ordered by their targets also when the routes of
+     *     the service state less than two different ones
+     * @param random source of randomness for breaking ties
+     */
+    public StreamScheduler(
+            String service,
+            EngineSpec spec,
+            LocationMap locations,
+            FleetRetryBudget retries,
+            UpstreamLimits limits,
+            boolean ordersByTarget,
+            RandomGenerator random) {
         mService = service;
         mSpec = spec;
         mRetries = retries;
         mLimits = limits;
         mSelector = new EngineSelector(spec, locations, mEngineView, mSpeed, limits, random);
         mLossDetector = new LossDetector(mEngineView, mSpeed, locations, limits);
+        mOrdersByTarget = ordersByTarget;
+        mTargetOrder = new TargetOrder(mSpeed);
+        mOrder = ordersByTarget ? mTargetOrder : new ArrivalOrder();
     }
 
     @Override
@@ -128,6 +148,12 @@
         dispatch(nowNanos);
     }
 
+    @Override
+    public void updateTargets(Set<Duration> targets) {
+        mTargetOrder.targets(targets);
+        mOrder = mOrdersByTarget || targets.size() > 1 ? mTargetOrder : new ArrivalOrder();
+    }
+
     @Override
     public void offer(Work work, long nowNanos) {
         mRetries.recordRequest(nowNanos);
@@ -609,7 +635,7 @@
         if (mWaiting.isEmpty()) {
             return;
         }
-        mWaiting.sort(QUEUE_ORDER);
+        mOrder.sort(mWaiting, nowNanos);
         // While no engine accepts a request, none has to be selected for each that waits.
         long wait = 0;
         for (StreamRun run : List.copyOf(mWaiting)) {
@@ -720,7 +746,7 @@
                         run.work(),
                         started.number(),
                         engine.upstream(),
-                        copy == null ? Math.min(LAST_PRIORITY, 1 + run.work().priority()) : 0,
+                        copy == null ? mOrder.urgency(run) : 0,
                         copyHolder == null ? null : copyHolder.upstream(),
                         copy,
                         cacheHolder == null || cacheHolder == engine
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/route/RouteTable.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/route/RouteTable.java
@@ -1,9 +1,12 @@
 package org.gentianwalk.core.route;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** One version of the configuration, indexed for look-ups. Immutable and thread-safe. */
@@ -103,6 +106,27 @@
         return mServices.values();
     }
 
+    /**
+     * Returns the different latency targets of the routes that lead to a service.
+     *
+     * @param service name of the service
+     * @return the targets, without those of routes that give the service no requests
+     */
+    public Set<Duration> latencyTargets(String service) {
+        Set<Duration> targets = new HashSet<>();
+        for (Map<String, Route> byPrefix : mRoutes.values()) {
+            for (Route route : byPrefix.values()) {
+                boolean leadsThere =
+                        route.targets().stream()
+                                .anyMatch(t -> t.service().equals(service) && t.weight() > 0);
+                if (leadsThere) {
+                    targets.add(route.target());
+                }
+            }
+        }
+        return targets;
+    }
+
     /**
      * Returns the number of routes.
      *
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -29,6 +29,7 @@
 import org.gentianwalk.core.dispatch.Progress;
 import org.gentianwalk.core.dispatch.StatedLimit;
 import org.gentianwalk.core.dispatch.StreamScheduler;
+import org.gentianwalk.core.dispatch.TargetAware;
 import org.gentianwalk.core.dispatch.Upstream;
 import org.gentianwalk.core.dispatch.UpstreamDirectory;
 import org.gentianwalk.core.dispatch.UpstreamLimits;
@@ -792,6 +793,9 @@
                     mRetired.put(known, service.name());
                 }
             }
+            if (mSchedulers.get(service.name()) instanceof TargetAware aware) {
+                aware.updateTargets(table.latencyTargets(service.name()));
+            }
         }
         mTable = table;
         mLog.configurationInForce(
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/DispatchSchedulers.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/DispatchSchedulers.java
@@ -15,6 +15,7 @@
  */
 public final class DispatchSchedulers implements SchedulerFactory {
     private final LocationMap mLocations;
+    private final boolean mOrdersByTarget;
 
     /**
      * Creates a factory.
@@ -22,7 +23,18 @@
      * @param locations location of this instance and of the zones
      */
     public DispatchSchedulers(LocationMap locations) {
+        this(locations, false);
+    }
+
+    /**
+     * Creates a factory.
+     *
+     * @param locations location of this instance and of the zones
+     * @param ordersByTarget whether generations are ordered by their targets for every service
+     */
+    public DispatchSchedulers(LocationMap locations, boolean ordersByTarget) {
         mLocations = locations;
+        mOrdersByTarget = ordersByTarget;
     }
 
     @Override
@@ -32,6 +44,12 @@
         return service.engine() == null
                 ? new CallScheduler(service.name(), mLocations, retries, limits, random)
                 : new StreamScheduler(
-                        service.name(), service.engine(), mLocations, retries, limits, random);
+                        service.name(),
+                        service.engine(),
+                        mLocations,
+                        retries,
+                        limits,
+                        mOrdersByTarget,
+                        random);
     }
 }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/settings/SettingsReader.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/settings/SettingsReader.java
@@ -46,10 +46,14 @@
                     "config_change_ms",
                     "upstream_change_ms",
                     "stop_grace_s",
-                    "log_level");
+                    "log_level",
+                    "queue_order");
 
     private static final List<String> LOG_LEVELS = List.of("error", "warn", "info", "debug");
 
+    private static final String ORDER_BY_TARGET = "target";
+    private static final List<String> QUEUE_ORDERS = List.of("arrival", ORDER_BY_TARGET);
+
     private static final double DEFAULT_RETRY_RATIO = 0.2;
     private static final double DEFAULT_RETRY_SLACK = 20;
     private static final double DEFAULT_RETRY_WINDOW_S = 10;
@@ -130,7 +134,8 @@
                 millis(root, "config_change_ms"),
                 millis(root, "upstream_change_ms"),
                 seconds(root, "stop_grace_s", DEFAULT_STOP_GRACE_S),
-                logLevel(root));
+                logLevel(root),
+                queueOrder(root).equals(ORDER_BY_TARGET));
     }
 
     private static Map<String, String> zones(JsonNode root) throws SettingsException {
@@ -185,6 +190,14 @@
         return level;
     }
 
+    private static String queueOrder(JsonNode root) throws SettingsException {
+        String order = root.path("queue_order").asText("arrival");
+        if (!QUEUE_ORDERS.contains(order)) {
+            throw new SettingsException("key queue_order must be one of " + QUEUE_ORDERS);
+        }
+        return order;
+    }
+
     private Duration millis(JsonNode root, String key) throws SettingsException {
         String variable = VARIABLE_PREFIX + key.toUpperCase(Locale.ROOT);
         String text = mEnvironment.get(variable);
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/settings/SettingsReaderTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/settings/SettingsReaderTest.java
@@ -30,6 +30,7 @@
         assertThat(settings.configChange()).isEqualTo(Duration.ofSeconds(3));
         assertThat(settings.upstreamChange()).isEqualTo(Duration.ofSeconds(2));
         assertThat(settings.mesh().keys()).singleElement();
+        assertThat(settings.ordersByTarget()).isTrue();
     }
 
     @Test
@@ -39,6 +40,7 @@
         assertThat(settings.metrics()).isNull();
         assertThat(settings.logLevel()).isEqualTo("info");
         assertThat(settings.stopGrace()).isPositive();
+        assertThat(settings.ordersByTarget()).isFalse();
     }
 
     /** A deployment may be able to pass its bounds to the process but not into the file. */
@@ -82,6 +84,7 @@
         "out-of-range, key stop_grace_s must be a number",
         "short-secret, at least 16 bytes",
         "bad-level, key log_level must be one of",
+        "bad-order, 'key queue_order must be one of [arrival, target]'",
         "no-yaml, it has to be YAML",
         "list, must hold keys with values"
     })
