Read the load of upstreams that share their machines

Such upstreams state a fourth number in their load, how long work takes at the moment (100 is usual).

A stated slowdown counts as part of the expected time of a call and fades over 600 ms, as the machines change as fast.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
@@ -23,6 +23,12 @@
     /** Time over which a load reported by an upstream decays linearly to zero. */
     private static final long REPORTED_LOAD_NANOS = Duration.ofMillis(500).toNanos();
 
+    /**
+     * Time over which a reported slowdown decays linearly to none. The machines that upstreams
+     * share change their speed within about as much time.
+     */
+    private static final long SLOWDOWN_NANOS = Duration.ofMillis(600).toNanos();
+
     /** Cost of an upstream that has not answered since its last failure, milliseconds. */
     private static final double FAILURE_COST_MILLIS = 100;
 
@@ -44,6 +50,7 @@
 
     private final CallOutcomes mOutcomes = new CallOutcomes();
     private int mPeerRequests;
+    private double mSlowdown = 1;
     private long mReportedAt;
     private boolean mReplaced;
     private @Nullable Long mUnlistedAt;
@@ -260,14 +267,17 @@
 
     void recordLoad(UpstreamLoad load, long nowNanos) {
         mPeerRequests = Math.max(0, load.running() + load.waiting() - mStarts.size());
+        mSlowdown = load.slowdown();
         mReportedAt = nowNanos;
     }
 
     /** Returns the expected wait of a call on top of its own duration, milliseconds. */
     double cost(double callMillis, Distance distance, long nowNanos) {
         int slots = mUpstream.slots();
+        double slowdown = slowdown(nowNanos);
         double load = mStarts.size() + peerRequests(nowNanos);
-        double wait = Math.max(0, load + 1 - slots) / slots * callMillis;
+        double wait = Math.max(0, load + 1 - slots) / slots * callMillis * slowdown;
+        wait += (slowdown - 1) * callMillis;
         double cost = wait + SPREAD_FRACTION * callMillis * load / slots;
         cost += roundTripMillis(distance);
         if (mReachability.isFailing()) {
@@ -285,6 +295,12 @@
         return mPeerRequests * Math.max(0, left);
     }
 
+    /** Returns the estimated factor by which work takes longer than usual. */
+    private double slowdown(long nowNanos) {
+        double left = 1 - (double) (nowNanos - mReportedAt) / SLOWDOWN_NANOS;
+        return 1 + (mSlowdown - 1) * Math.max(0, left);
+    }
+
     private static double roundTripMillis(Distance distance) {
         return switch (distance) {
             case SAME_ZONE -> 0;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/TargetOrder.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/TargetOrder.java
@@ -89,7 +89,11 @@
         if (run.isInterrupted()) {
             // Ordered by rank and arrival, as the caller already waits for the next event.
             return new Entry(
-                    run, work.priority() - Integer.MAX_VALUE, Group.NOT_OVERTAKEN, arrived, arrived);
+                    run,
+                    work.priority() - Integer.MAX_VALUE,
+                    Group.NOT_OVERTAKEN,
+                    arrived,
+                    arrived);
         }
         long limit = work.deadlineNanos() - work.arrivedNanos();
         if (-arrived >= limit * OVERTAKEN_FRACTION) {
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/ContentionTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/ContentionTest.java
@@ -54,7 +54,8 @@
         StreamRun loose = run(2, 2, StreamFleet.LOOSE, 4 * SECOND);
         StreamRun tight = run(3, 2, StreamFleet.TIGHT, 4 * SECOND);
         StreamRun higherRank = run(4, 1, StreamFleet.LOOSE, 5 * SECOND);
-        List<StreamRun> waiting = new java.util.ArrayList<>(List.of(late, loose, tight, higherRank));
+        List<StreamRun> waiting =
+                new java.util.ArrayList<>(List.of(late, loose, tight, higherRank));
 
         order.sort(waiting, 5 * SECOND);
         assertThat(waiting).containsExactly(higherRank, tight, loose, late);
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamFleet.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamFleet.java
@@ -181,8 +181,7 @@
     }
 
     private void recordProgress(Decision.Start start, long pause) {
-        mScheduler.recordProgress(
-                start.work().id(), start.attempt(), new Progress(1, mNow, pause));
+        mScheduler.recordProgress(start.work().id(), start.attempt(), new Progress(1, mNow, pause));
     }
 
     /** Ends the other attempts of a request, as the first output does. */
