Accept only complete and valid responses of upstreams

Cause: Netty and the JDK's client accept any status number. A body that only the end of the connection delimits counted as complete although the upstream had not read the request. An attempt whose event numbers go back could end a stream as complete.

Change: ReceivedHead (core) decides for both programs whether a head is valid. The end of an unframed body waits for the result of the write. After a failed write, what the socket has received is still read. The send buffer is bounded, so that the system does not take a long request that the upstream has not read. A lower event number ends the attempt as garbled.

The test of an unframed response that ends with one direction stated the fault as the expected result: complete although the upload of 1 MB was never read. It now requires that the response is complete only once the upload is read.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamClient.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamClient.java
@@ -16,7 +16,10 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.ConnectException;
@@ -29,6 +32,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.gentianwalk.core.response.ReceivedHead;
 import org.gentianwalk.core.time.Ticker;
 import org.gentianwalk.gateway.http.UpstreamListener.Failure;
 import org.gentianwalk.gateway.wire.WireDialect;
@@ -60,6 +64,13 @@
     /** Longest wait for the close of all connections, milliseconds. */
     private static final long CLOSE_MILLIS = 2_000;
 
+    /**
+     * Size of a connection's send buffer, bytes. The system's own size reaches 4 MB, so that a long
+     * request counts as written although its upstream has read nothing of it. The links carry at
+     * most 42 Mbit/s between regions with 24 ms a round trip, 126 KB.
+     */
+    private static final int SEND_BUFFER_BYTES = 128 << 10;
+
     private static final int MAX_HEAD_BYTES = 65_536;
     private static final int MAX_CHUNK_BYTES = 65_536;
 
@@ -186,6 +197,7 @@
                 .group(mGroup)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
                 .handler(
                         new ChannelInitializer<Channel>() {
@@ -218,6 +230,9 @@
         // Without it, the end of the upstream's output closes the channel and can't be told from
         // other reasons to close it. UpstreamConnection closes the channel then.
         channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+        // A failed write would otherwise close the channel before a response is read that has
+        // arrived, such as an error for a body that is too long.
+        channel.config().setAutoClose(false);
         ResponseDecoder decoder = new ResponseDecoder(connection);
         connection.unparsedBytes(decoder::hasUnparsedBytes);
         channel.pipeline()
@@ -245,8 +260,22 @@
             return actualReadableBytes() > 0;
         }
 
+        @Override
+        protected HttpMessage createMessage(String[] initialLine) {
+            if (!ReceivedHead.isStatusText(initialLine[1])) {
+                throw new IllegalArgumentException("invalid status: " + initialLine[1]);
+            }
+            return super.createMessage(initialLine);
+        }
+
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            if (message instanceof HttpResponse response
+                    && response.status().equals(HttpResponseStatus.NO_CONTENT)
+                    && HttpUtil.isTransferEncodingChunked(message)) {
+                // The base class would remove the header that makes the response invalid.
+                return false;
+            }
             return mConnection.isHeadRequest() || super.isContentAlwaysEmpty(message);
         }
     }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/UpstreamConnection.java
@@ -19,11 +19,13 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.gentianwalk.core.response.ReceivedHead;
 import org.gentianwalk.gateway.http.UpstreamListener.Failure;
 import org.gentianwalk.gateway.wire.ResponseHead;
 import org.jspecify.annotations.Nullable;
@@ -50,6 +52,7 @@
     private @Nullable UpstreamRequest mRequest;
     private @Nullable ChannelFuture mWritten;
     private @Nullable ResponseHead mHead;
+    private @Nullable ReceivedHead mReceivedHead;
     private Phase mPhase = Phase.NONE;
     private boolean mReused;
     private boolean mReusable;
@@ -62,6 +65,16 @@
      */
     private boolean mInputEnded;
 
+    /** Whether the body has ended with the connection while the request was being written. */
+    private boolean mEndAwaited;
+
+    /**
+     * Whether writing the request has failed. What the socket has received is still read, as it may
+     * hold the response that explains why the upstream reads no further.
+     */
+    private boolean mDraining;
+
+    private boolean mRangeRequested;
     private boolean mBytesReceived;
     private int mSkipped;
     private int mSkippedBytes;
@@ -117,6 +130,11 @@
         return mPhase == Phase.NONE;
     }
 
+    /** Returns whether the end of a body waits for the result of writing the request. */
+    boolean isEndAwaited() {
+        return mEndAwaited;
+    }
+
     boolean isUsable(long nowNanos, UpstreamRequest request) {
         ChannelHandlerContext context = mContext;
         if (context == null
@@ -161,11 +179,42 @@
         mReused = reused;
         mReusable = true;
         mHead = null;
+        mReceivedHead = null;
+        mRangeRequested = message.headers().contains(HttpHeaderNames.RANGE);
+        mEndAwaited = false;
+        mDraining = false;
         mBytesReceived = false;
         mSkipped = 0;
         mSkippedBytes = 0;
         mPhase = Phase.HEAD;
-        mWritten = context.writeAndFlush(message);
+        ChannelFuture written = context.writeAndFlush(message);
+        mWritten = written;
+        written.addListener(done -> requestWritten(written));
+    }
+
+    /** Called when the request was written, or could not be. */
+    private void requestWritten(ChannelFuture written) {
+        if (written != mWritten || mPhase == Phase.NONE) {
+            return;
+        }
+        if (written.isSuccess()) {
+            if (mEndAwaited) {
+                complete();
+            }
+            return;
+        }
+        // The socket reports its error once. After the write has got it, reading sees an end in
+        // order, which is not that of the body.
+        boolean unframed = mPhase == Phase.BODY && !mFramed;
+        ChannelHandlerContext context = mContext;
+        if (unframed
+                || context == null
+                || !context.channel().config().isAutoRead()
+                || !(written.cause() instanceof IOException)) {
+            endConnection();
+        } else {
+            mDraining = true;
+        }
     }
 
     private static DefaultFullHttpRequest message(UpstreamRequest request) {
@@ -192,7 +241,8 @@
     @Override
     public void setReading(boolean reading) {
         ChannelHandlerContext context = mContext;
-        if (context != null) {
+        // After a failed write, the size of the socket's buffer bounds what follows.
+        if (context != null && (reading || !mDraining)) {
             context.channel().config().setAutoRead(reading);
         }
     }
@@ -227,7 +277,7 @@
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         // Nothing more can arrive. The connection would otherwise stay open for the other
         // direction.
-        if (event == ChannelInputShutdownEvent.INSTANCE) {
+        if (event == ChannelInputShutdownEvent.INSTANCE && !mEndAwaited) {
             endConnection();
         }
     }
@@ -245,12 +295,12 @@
         if (mError != null) {
             return String.valueOf(mError);
         }
-        if (mInputEnded) {
-            return "closed by the upstream";
-        }
         ChannelFuture written = mWritten;
         Throwable writeError = written == null ? null : written.cause();
-        return writeError == null ? "closed by this instance" : String.valueOf(writeError);
+        if (writeError != null) {
+            return "the request was not written: " + writeError;
+        }
+        return mInputEnded ? "closed by the upstream" : "closed by this instance";
     }
 
     @Override
@@ -291,12 +341,18 @@
             fail(Failure.GARBLED, "the response is not valid HTTP/1.1");
             return;
         }
-        ResponseHead head = mClient.dialect().parseResponseHead(response);
-        if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
-            // No request asks for it. The decoder parses nothing that follows.
-            fail(Failure.GARBLED, "the upstream switches protocols");
+        ReceivedHead received =
+                new ReceivedHead(
+                        response.status().code(),
+                        isHeadRequest() ? -1 : HttpUtil.getContentLength(response, -1L),
+                        HttpUtil.isTransferEncodingChunked(response),
+                        mRangeRequested);
+        String fault = received.fault();
+        if (fault != null) {
+            fail(Failure.GARBLED, fault);
             return;
         }
+        ResponseHead head = mClient.dialect().parseResponseHead(response);
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             countSkipped();
             return;
@@ -319,7 +375,8 @@
         mPhase = Phase.BODY;
         mHead = head;
         mFramed = isFramed(response);
-        mReusable &= HttpUtil.isKeepAlive(response) && mFramed;
+        mReceivedHead = received;
+        mReusable &= HttpUtil.isKeepAlive(response) && mFramed && !received.hasDoubtfulEnd();
         if (head.keepAlive() != null) {
             mKeepAlive = mClient.usableKeepAlive(head.keepAlive());
         }
@@ -369,14 +426,32 @@
             fail(Failure.GARBLED, "the body of the response is not valid HTTP/1.1");
             return;
         }
+        ReceivedHead head = mReceivedHead;
+        if (content.content().isReadable() && head != null && head.forbidsBody()) {
+            fail(Failure.GARBLED, "status " + head.status() + " with a body, which it can't have");
+            return;
+        }
         UpstreamListener listener = mListener;
         if (listener != null && content.content().isReadable()) {
             listener.onBody(ByteBufUtil.getBytes(content.content()));
         }
-        // The decoder also ends a body without framing when the channel is closed for another
-        // reason.
-        if (content instanceof LastHttpContent && (mFramed || mInputEnded)) {
+        if (content instanceof LastHttpContent) {
+            endBody();
+        }
+    }
+
+    /**
+     * Ends the body. Without framing, the decoder also ends it when the channel is closed for
+     * another reason; and an upstream that has not read the whole request may have been cut off.
+     */
+    private void endBody() {
+        ChannelFuture written = mWritten;
+        if (mFramed) {
+            complete();
+        } else if (mInputEnded && written != null && written.isSuccess()) {
             complete();
+        } else if (mInputEnded && written != null && !written.isDone()) {
+            mEndAwaited = true;
         }
     }
 
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/Exchange.java
@@ -347,7 +347,7 @@
         /** Whether a part of this attempt's response, other than a stream, was forwarded. */
         private boolean mBegun;
 
-        /** Highest number of an event of this attempt, also of one that is not forwarded; or 0. */
+        /** Number of the last event of this attempt, also of one that is not forwarded; or 0. */
         private long mLastNumber;
 
         /** Whether an event without a number was forwarded. */
@@ -612,8 +612,11 @@
                 endGarbled("event " + number + " follows events without a number");
             } else if (number > mLastEvent + 1) {
                 endGarbled("event " + number);
+            } else if (number < mLastNumber) {
+                // What is missing after it can't be told, so its end is not that of the stream.
+                endGarbled("event " + number + " follows event " + mLastNumber);
             } else {
-                mLastNumber = Math.max(mLastNumber, number);
+                mLastNumber = number;
                 if (number > mLastEvent) {
                     mLastEvent = number;
                     forward(event);
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamConnectionTest.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import org.gentianwalk.core.time.ManualTicker;
 import org.gentianwalk.gateway.http.UpstreamListener.Failure;
 import org.gentianwalk.gateway.wire.ResponseHead;
@@ -134,6 +135,99 @@
         assertThat(mChannel.isOpen()).isFalse();
     }
 
+    /**
+     * The caller would get a status that no HTTP client accepts, or a success by its last digits.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "000", "001", "099", "600", "700", "999", "0", "20", "0200", "1200", "+200", "-1"
+            })
+    void aStatusOutsideTheRangeIsNoValidResponse(String status) {
+        for (String framing :
+                List.of("Content-Length: 5", "Transfer-Encoding: chunked", "x-a: b")) {
+            connect();
+            RecordedListener listener = new RecordedListener();
+            mConnection.send(request("one", false), listener, false);
+            String head = "\r\nx-id: one\r\nx-signed: 1\r\n" + framing + "\r\n\r\n";
+            answer("HTTP/1.1 " + status + " Odd" + head + "hello");
+            mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+
+            assertThat(listener.mHead).as(framing).isNull();
+            assertThat(listener.mComplete).as(framing).isFalse();
+            assertThat(listener.mFailure).as(framing).isEqualTo(Failure.GARBLED);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {200, 299, 300, 404, 500, 599})
+    void aStatusWithinTheRangeIsDelivered(int status) {
+        send("one", false);
+        answer(OK.replace("200 OK", status + " Text"));
+
+        assertThat(mListener.mHead.status()).isEqualTo(status);
+        assertThat(mListener.mComplete).isTrue();
+    }
+
+    /** A body that a status rules out would be lost, or read as the next response. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "204 Empty\r\nContent-Length: 5",
+                "204 Empty\r\nTransfer-Encoding: chunked",
+                "205 Reset\r\nContent-Length: 5",
+                "205 Reset",
+                "206 Part\r\nContent-Length: 5\r\nContent-Range: bytes 0-4/9"
+            })
+    void aStatusThatCannotStandHereIsNoValidResponse(String response) {
+        send("one", false);
+        answer("HTTP/1.1 " + response + "\r\nx-id: one\r\nx-signed: 1\r\n\r\nhello");
+        mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+
+        assertThat(mListener.mComplete).isFalse();
+        assertThat(mListener.mBody.toString()).isEmpty();
+        assertThat(mListener.mFailure).isEqualTo(Failure.GARBLED);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "204 Empty\r\nContent-Length: 0",
+                "205 Reset\r\nContent-Length: 0",
+                "205 Reset\r\nTransfer-Encoding: chunked\r\n\r\n0",
+                "304 Same\r\nContent-Length: 5"
+            })
+    void aResponseThatStatesNoBodyOfItsOwnIsComplete(String response) {
+        send("one", false);
+        String ids = "\r\nx-id: one\r\nx-signed: 1";
+        answer("HTTP/1.1 " + response.replaceFirst("\r\n", ids + "\r\n") + "\r\n\r\n");
+
+        assertThat(mListener.mFailure).isNull();
+        assertThat(mListener.mComplete).isTrue();
+    }
+
+    /** The stated body may follow, and would be read as the response to the next request. */
+    @Test
+    void aConnectionIsNotKeptAfterAStatusWithoutABodyThatStatesOne() {
+        send("one", false);
+        answer("HTTP/1.1 304 Same\r\nx-id: one\r\nContent-Length: 5\r\n\r\n");
+
+        assertThat(mListener.mComplete).isTrue();
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    @Test
+    void aPartIsDeliveredToARequestForOne() {
+        HttpHeaders headers = new DefaultHttpHeaders().set("Range", "bytes=0-4");
+        mConnection.send(
+                new UpstreamRequest(HttpMethod.GET, "/a", () -> headers, new byte[0], "one", false),
+                mListener,
+                false);
+        answer(OK.replace("200 OK", "206 Part"));
+
+        assertThat(mListener.mComplete).isTrue();
+    }
+
     @Test
     void bytesThatAreNotHttpFailTheRequest() {
         send("one", false);
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamEndTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/UpstreamEndTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -21,6 +22,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import org.gentianwalk.core.time.ManualTicker;
 import org.gentianwalk.gateway.http.UpstreamListener.Failure;
 import org.gentianwalk.gateway.wire.ResponseHead;
@@ -104,12 +107,60 @@
 
     /** The upstream goes on to receive, so that only one direction of the connection ends. */
     @Test
-    void anUnframedResponseThatEndsWithOneDirectionIsComplete() throws Exception {
+    void anUnframedResponseThatEndsWithOneDirectionIsCompleteOnceTheRequestIsWritten()
+            throws Exception {
         send(LONG_BODY);
         write(UNFRAMED);
         mUpstream.shutdownOutput();
+        awaitOnLoop(mConnection::isEndAwaited);
+        assertThat(mListener.mEnd).as("the upload is unfinished").isNotDone();
+        mUpstream.getInputStream().readNBytes(LONG_BODY);
 
         assertThat(end()).isEqualTo("complete");
+        assertThat(mListener.mEnds.get()).isEqualTo(1);
+        assertClosed();
+    }
+
+    /** The socket reports the error to the write only; reading sees an end in order. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void anUnframedResponseThatEndsBeforeItsRequestIsWrittenIsBroken(boolean paused)
+            throws Exception {
+        send(LONG_BODY);
+        write(UNFRAMED);
+        mListener.mFirstBody.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+        mUpstream.shutdownOutput();
+        awaitOnLoop(mConnection::isEndAwaited);
+        if (paused) {
+            onLoop(() -> mConnection.setReading(false));
+        }
+        reset();
+
+        assertThat(end()).isEqualTo("BROKEN");
+        assertThat(mListener.mEnds.get()).isEqualTo(1);
+        assertClosed();
+    }
+
+    /** The write fails first, and what the socket has received would be dropped with it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"413 Large", "503 Full", "200 OK"})
+    void aFramedResponseBeforeAFailedWriteIsComplete(String status) throws Exception {
+        send(LONG_BODY);
+        onLoop(
+                () -> {
+                    // The loop reads nothing until response and reset have arrived.
+                    try {
+                        write(FRAMED.replace("200 OK", status));
+                        reset();
+                        Thread.sleep(50);
+                        failWrite();
+                    } catch (IOException | InterruptedException e) {
+                        throw new IllegalStateException(e);
+                    }
+                });
+
+        assertThat(end()).isEqualTo("complete");
+        assertThat(mListener.mBody.toString()).isEqualTo("hello");
         assertClosed();
     }
 
@@ -273,6 +324,20 @@
         mUpstream.close();
     }
 
+    /** Lets the connection write first, so that the write gets the error of the socket. */
+    private void failWrite() {
+        mChannel.unsafe().flush();
+        ((AbstractNioChannel) mChannel).unsafe().forceFlush();
+    }
+
+    private void awaitOnLoop(BooleanSupplier condition) throws Exception {
+        long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+        while (!mGroup.submit(condition::getAsBoolean).get(LIMIT_SECONDS, TimeUnit.SECONDS)) {
+            assertThat(System.nanoTime()).as("the condition holds in time").isLessThan(limit);
+            Thread.sleep(2);
+        }
+    }
+
     private void onLoop(Runnable task) throws Exception {
         mGroup.submit(task).get(LIMIT_SECONDS, TimeUnit.SECONDS);
     }
@@ -293,6 +358,7 @@
         private final StringBuffer mBody = new StringBuffer();
         private final CompletableFuture<Void> mFirstBody = new CompletableFuture<>();
         private final CompletableFuture<String> mEnd = new CompletableFuture<>();
+        private final AtomicInteger mEnds = new AtomicInteger();
         private volatile boolean mThrowing;
 
         @Override
@@ -309,11 +375,13 @@
 
         @Override
         public void onComplete() {
+            mEnds.incrementAndGet();
             mEnd.complete("complete");
         }
 
         @Override
         public void onFailure(Failure failure, String cause) {
+            mEnds.incrementAndGet();
             mEnd.complete(failure.name());
         }
     }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/ScriptedUpstream.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/ScriptedUpstream.java
@@ -19,11 +19,15 @@
 
 /** An upstream on loopback whose responses are raw bytes, so that it can violate the protocol. */
 final class ScriptedUpstream implements AutoCloseable {
+    /** Bytes of a body that are read when the rest of it is not. */
+    private static final int FIRST_BYTES = 50;
+
     private final String mId;
     private final ServerSocket mListener;
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
     private final List<String> mReceived = new CopyOnWriteArrayList<>();
     private volatile Script mScript;
+    private volatile boolean mReadsBodies = true;
 
     /** Writes the response to a request. */
     interface Script {
@@ -36,7 +40,7 @@
         void respond(Request request, Connection connection) throws Exception;
     }
 
-    /** A request that was read whole. */
+    /** A request that was read whole, or its head and the first bytes of its body. */
     record Request(String method, String target, Map<String, String> headers, byte[] body) {
         String id() {
             return headers.getOrDefault("x-id", "");
@@ -110,6 +114,11 @@
         mScript = script;
     }
 
+    /** Sets whether requests are read whole; otherwise the rest stays in the connection. */
+    void readsBodies(boolean readsBodies) {
+        mReadsBodies = readsBodies;
+    }
+
     /** Returns the identifiers of the received requests, in their order. */
     List<String> received() {
         return mReceived;
@@ -157,7 +166,7 @@
         }
     }
 
-    private static Request read(InputStream input) throws IOException {
+    private Request read(InputStream input) throws IOException {
         String line = line(input);
         if (line == null) {
             return null;
@@ -173,7 +182,8 @@
         }
         int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
         String[] words = line.split(" ");
-        return new Request(words[0], words[1], headers, input.readNBytes(length));
+        int read = mReadsBodies ? length : Math.min(length, FIRST_BYTES);
+        return new Request(words[0], words[1], headers, input.readNBytes(read));
     }
 
     /** Returns the next line without its end, or null at the end of the input. */
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/traffic/ExchangeTest.java
@@ -609,6 +609,36 @@
         assertThat(mCaller.mLog).doesNotContain("end");
     }
 
+    /**
+     * The events that are missing after the lower number can't be told, so the caller would get a
+     * part of the stream as a complete one.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"1 2 3 4 5 3", "1 2 3 4 5 4 5 6", "1 2 3 4 5 4 6", "1 2 1"})
+    void aStreamIsNotEndedByAnAttemptWhoseNumbersGoBack(String numbers) {
+        Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 0);
+        start(exchange, 1, FIRST);
+        for (String number : numbers.split(" ")) {
+            events(0, "id: " + number + "\ndata: x\n\n");
+        }
+        mSent.get(0).listener().onComplete();
+
+        assertThat(mControl.mLog).containsExactly("ended 1 GARBLED");
+        assertThat(mCaller.mLog).doesNotContain("end");
+    }
+
+    /** An engine that does not know the stream restarts it, which is no fault. */
+    @Test
+    void anAttemptThatRepeatsWhatTheCallerHasContinuesTheStream() {
+        Exchange exchange = exchange(RequestKind.RESUMABLE_STREAM, 2);
+        start(exchange, 1, FIRST);
+        events(0, "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n");
+        mSent.get(0).listener().onComplete();
+
+        assertThat(mControl.mLog).containsExactly("delivered 1");
+        assertThat(mCaller.mLog).containsExactly("begin 200", "part id: 3\ndata: x\n\n", "end");
+    }
+
     /** The first engine may have been lost after the last event and before the end. */
     @Test
     void aStreamIsEndedByAnAttemptThatHasNoFurtherEvent() {
--- a/gentianwalk-server/src/main/java/org/gentianwalk/server/platform/PlatformHttp.java
+++ b/gentianwalk-server/src/main/java/org/gentianwalk/server/platform/PlatformHttp.java
@@ -12,6 +12,7 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import org.gentianwalk.server.http.ValidResponses;
 
 /**
  * Sends requests to the platform and reports whether an unanswered request may have been sent.
@@ -137,7 +138,8 @@
     private Exchange send(HttpRequest request) {
         try {
             return new Exchange.Answered(
-                    mClient.send(request, HttpResponse.BodyHandlers.ofByteArray()));
+                    ValidResponses.require(
+                            mClient.send(request, HttpResponse.BodyHandlers.ofByteArray())));
         } catch (ConnectException | HttpConnectTimeoutException e) {
             mFailures.inc();
             return new Exchange.NotSent("no connection to the platform: " + e);
--- a/gentianwalk-server/src/main/java/org/gentianwalk/server/service/ServiceClient.java
+++ b/gentianwalk-server/src/main/java/org/gentianwalk/server/service/ServiceClient.java
@@ -13,6 +13,7 @@
 import org.gentianwalk.core.journal.CallService.Answer;
 import org.gentianwalk.core.journal.CallService.SendResult;
 import org.gentianwalk.core.model.UpstreamInfo;
+import org.gentianwalk.server.http.ValidResponses;
 
 /** HTTP client of plain services, separate from the client of the engines. Thread-safe. */
 final class ServiceClient implements AutoCloseable {
@@ -60,6 +61,7 @@
             HttpResponse<InputStream> response =
                     mClient.send(request, HttpResponse.BodyHandlers.ofInputStream());
             try (InputStream input = response.body()) {
+                ValidResponses.require(response);
                 byte[] body = input.readNBytes(MAX_ANSWER_BYTES + 1);
                 if (body.length > MAX_ANSWER_BYTES) {
                     return new SendResult.Unknown("answer is too large");
--- a/gentianwalk-server/src/main/java/org/gentianwalk/server/upstream/EngineClient.java
+++ b/gentianwalk-server/src/main/java/org/gentianwalk/server/upstream/EngineClient.java
@@ -69,6 +69,7 @@
                             .POST(HttpRequest.BodyPublishers.ofByteArray(serialize(body)))
                             .build();
             HttpClient client = mStreams[Math.floorMod(requestId.hashCode(), mStreams.length)];
+            // No status but 200 is accepted here, so that an invalid one needs no further check.
             HttpResponse<InputStream> response = client.send(request, BodyHandlers.ofInputStream());
             if (response.statusCode() == STATUS_OK) {
                 return new EngineStream(response.body());
