Share contended engines by team and keep places for tight targets

Cause: one large team occupied the queue, loose prompts filled the engines before tight ones, requests waited for engines until their deadline, and prompts at engines that were silent for 1.2 s were prefilled a second time. Change: teams that got more than an equal share of prompt tokens move back; loose prompts leave a part of the engines to tight ones; a request that can't have output before its deadline is rejected at once; a prefill elsewhere waits up to 1.5 s for a silent engine where the target or the pause limit allows it. Only with the order by target.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
@@ -86,6 +86,7 @@
     private final RandomGenerator mRandom;
     private boolean mWide;
     private double mPosition;
+    private PlacementBound mBound = PlacementBound.NONE;
 
     EngineSelector(
             EngineSpec spec,
@@ -102,6 +103,11 @@
         mRandom = random;
     }
 
+    /** Replaces the limits on the engines that generations may take. */
+    void bound(PlacementBound bound) {
+        mBound = bound;
+    }
+
     /** Updates the live instances. */
     void updatePeers(PeerView peers) {
         // Load reports of other regions are then sent at intervals only.
@@ -120,28 +126,38 @@
         EngineState best = null;
         double bestCost = 0;
         EngineState cacheHolder = cacheHolder(run, nowNanos);
-        long maxDelay = maxDelayNanos(run, nowNanos);
+        long maxDelay = mBound.acceptedDelayNanos(run, maxDelayNanos(run, nowNanos), nowNanos);
         List<EngineState> usable = usableEngines(nowNanos);
         double ringCost = RING_COST * run.promptTokens() / mSpeed.prefillTokensPerNano();
         for (int i = 0; i < usable.size(); i++) {
             EngineState engine = usable.get(i);
-            if (engine.running() >= mSpec.slots()
+            int running = engine.running();
+            if (running >= mSpec.slots()
                     || !run.mayUse(engine, reserved)
                     || run.isRepeat() && engine.isSilent()
                     || !mLimits.isPermitted(engine.upstream(), nowNanos)) {
                 continue;
             }
-            double memory = (double) engine.memory() / mSpec.memoryTokens();
+            int memoryTokens = engine.memory();
+            double memory = (double) memoryTokens / mSpec.memoryTokens();
             if (memory + (double) run.memory() / mSpec.memoryTokens() > MEMORY_FRACTION) {
                 continue;
             }
-            double delay =
-                    engine.backlog(mSpeed.prefillTokensPerNano(), nowNanos)
-                            + (double) engine.decoding() * DECODING_COST_NANOS;
+            long backlog = engine.backlog(mSpeed.prefillTokensPerNano(), nowNanos);
+            double delay = backlog + (double) engine.decoding() * DECODING_COST_NANOS;
             boolean otherRegion = mWide && isInOtherRegion(engine);
             if (delay + (otherRegion ? WIDE_REGION_COST_NANOS : 0) > maxDelay) {
                 continue;
             }
+            PlacementBound.Place place =
+                    new PlacementBound.Place(
+                            engine.upstream().id(),
+                            backlog,
+                            mSpec.slots() - running,
+                            (int) (MEMORY_FRACTION * mSpec.memoryTokens()) - memoryTokens);
+            if (!mBound.permits(run, place, nowNanos)) {
+                continue;
+            }
             double prefill = prefillNanos(engine, cacheHolder, run);
             double cost =
                     delay
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamRun.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamRun.java
@@ -128,6 +128,15 @@
         return mAttempts.stream().anyMatch(StreamAttempt::hasOutput);
     }
 
+    /** Returns the time of the last output of the attempts in progress. */
+    long lastOutput() {
+        long last = mAttempts.getFirst().lastOutput();
+        for (StreamAttempt attempt : mAttempts) {
+            last = attempt.lastOutput() - last > 0 ? attempt.lastOutput() : last;
+        }
+        return last;
+    }
+
     /** Returns whether no attempt in progress is sound. */
     boolean isUnattended() {
         return mAttempts.stream()
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -53,6 +53,12 @@
      */
     private static final long LOSS_NANOS = Duration.ofMillis(2_000).toNanos();
 
+    /**
+     * Time within which an engine that fell silent usually responds again. Outages last 1.2 s, and
+     * the next check after them takes up to 300 ms.
+     */
+    private static final long SILENCE_NANOS = Duration.ofMillis(1_500).toNanos();
+
     /** Maximum number of rejections by engines before a generation is refused. */
     private static final int MAX_REJECTIONS = 8;
 
@@ -135,8 +141,9 @@
         mSelector = new EngineSelector(spec, locations, mEngineView, mSpeed, limits, random);
         mLossDetector = new LossDetector(mEngineView, mSpeed, locations, limits);
         mOrdersByTarget = ordersByTarget;
-        mTargetOrder = new TargetOrder(mSpeed);
+        mTargetOrder = new TargetOrder(mSpeed, random);
         mOrder = ordersByTarget ? mTargetOrder : new ArrivalOrder();
+        mSelector.bound(mOrder);
     }
 
     @Override
@@ -152,6 +159,7 @@
     public void updateTargets(Set<Duration> targets) {
         mTargetOrder.targets(targets);
         mOrder = mOrdersByTarget || targets.size() > 1 ? mTargetOrder : new ArrivalOrder();
+        mSelector.bound(mOrder);
     }
 
     @Override
@@ -604,6 +612,12 @@
                 copied = attempt;
             }
         }
+        if (copied == null
+                && mayRespondAgain(run)
+                && mSelector.cacheHolder(run, nowNanos) == null
+                && mOrder.waitsForSilentEngine(run, nowNanos)) {
+            return false;
+        }
         EngineState engine =
                 copied == null
                         ? mSelector.select(run, reserved, nowNanos)
@@ -631,10 +645,29 @@
         return true;
     }
 
+    /** Returns whether an engine of a generation fell silent only a moment ago. */
+    private static boolean mayRespondAgain(StreamRun run) {
+        return run.attempts().stream()
+                .anyMatch(attempt -> attempt.isUnresponsiveWithin(SILENCE_NANOS));
+    }
+
     private void dispatch(long nowNanos) {
         if (mWaiting.isEmpty()) {
+            mOrder.recordQueue(false, nowNanos);
             return;
         }
+        mOrder.recordQueue(hasNewWaiting(), nowNanos);
+        dispatchWaiting(nowNanos);
+        mOrder.recordQueue(hasNewWaiting(), nowNanos);
+    }
+
+    /** Returns whether a request waits that has no attempt in progress. */
+    private boolean hasNewWaiting() {
+        return mWaiting.stream().anyMatch(run -> !run.hasAttempts());
+    }
+
+    private void dispatchWaiting(long nowNanos) {
+        long tokensAhead = 0;
         mOrder.sort(mWaiting, nowNanos);
         // While no engine accepts a request, none has to be selected for each that waits.
         long wait = 0;
@@ -672,6 +705,9 @@
                 }
                 wait = wait > 0 ? wait : mSelector.shortestWaitNanos(nowNanos);
                 refuseIfPausedTooLong(run, wait, nowNanos);
+                refuseIfTooLate(run, tokensAhead, nowNanos);
+                // A refused request is not ahead of the others.
+                tokensAhead += mRuns.containsKey(run.work().id()) ? run.promptTokens() : 0;
             }
         }
     }
@@ -698,6 +734,17 @@
         }
     }
 
+    /** Ends a request that is expected to start after its deadline. */
+    private void refuseIfTooLate(StreamRun run, long tokensAhead, long nowNanos) {
+        Duration retry =
+                mRuns.containsKey(run.work().id())
+                        ? mOrder.rejection(run, tokensAhead, nowNanos)
+                        : null;
+        if (retry != null) {
+            finish(run, Ending.REFUSED, retry, "the queue is too long to start in time");
+        }
+    }
+
     private Verdict verdict(StreamRun run, long nowNanos) {
         return mEvidence.verdict(run.subject(), nowNanos);
     }
@@ -740,6 +787,9 @@
                         expected,
                         nowNanos);
         run.recordStart(started);
+        if (copy == null) {
+            mOrder.recordStart(run, nowNanos);
+        }
         mLoadChanges++;
         mDecisions.add(
                 new Decision.Start(
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamFleet.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/StreamFleet.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntPredicate;
 import org.gentianwalk.core.route.EngineSpec;
 import org.gentianwalk.core.route.RequestKind;
 
@@ -28,11 +29,11 @@
     private final List<FakeEngine> mEngines = new ArrayList<>();
     final Map<Long, Work> mOffered = new HashMap<>();
     final Map<Long, Long> mFirstOutput = new HashMap<>();
+    private final Map<Long, Long> mLastEvent = new HashMap<>();
+    final List<Long> mLongPauses = new ArrayList<>();
     final Map<Long, Decision.Finish> mFinished = new HashMap<>();
-    final Map<Long, Long> mFinishedAt = new HashMap<>();
     final StreamScheduler mScheduler;
     private long mNextId = 1;
-    int mFurtherAttempts;
     long mPrefilledTokens;
     long mNow;
 
@@ -47,6 +48,15 @@
         FakeEngine(Upstream upstream) {
             mUpstream = upstream;
         }
+
+        List<Attempt> attempts() {
+            List<Attempt> all = new ArrayList<>(mQueue);
+            all.addAll(mDecoding);
+            if (mPrefill != null) {
+                all.add(mPrefill);
+            }
+            return all;
+        }
     }
 
     private static final class Attempt {
@@ -181,22 +191,24 @@
     }
 
     private void recordProgress(Decision.Start start, long pause) {
-        mScheduler.recordProgress(
-                start.work().id(), start.attempt(), new Progress(1, mNow, pause));
+        Long last = mLastEvent.put(start.work().id(), mNow);
+        if (last != null && mNow - last > start.work().maxPauseNanos()) {
+            mLongPauses.add(mNow - last);
+        }
+        mScheduler.recordProgress(start.work().id(), start.attempt(), new Progress(1, mNow, pause));
     }
 
     /** Ends the other attempts of a request, as the first output does. */
     private void cancelOthers(long work, int attempt) {
+        endAttempts(work, number -> number != attempt);
+    }
+
+    private void endAttempts(long work, IntPredicate ended) {
         for (FakeEngine engine : mEngines) {
-            List<Attempt> others = new ArrayList<>(engine.mQueue);
-            others.addAll(engine.mDecoding);
-            if (engine.mPrefill != null) {
-                others.add(engine.mPrefill);
-            }
-            for (Attempt other : others) {
-                int number = other.mStart.attempt();
-                if (other.mStart.work().id() == work && number != attempt) {
-                    remove(engine, other);
+            for (Attempt attempt : engine.attempts()) {
+                int number = attempt.mStart.attempt();
+                if (attempt.mStart.work().id() == work && ended.test(number)) {
+                    remove(engine, attempt);
                     mScheduler.recordAttemptEnd(work, number, AttemptEnd.SUPERSEDED, mNow);
                 }
             }
@@ -219,31 +231,12 @@
     private void execute() {
         for (Decision decision : mScheduler.advance(mNow)) {
             if (decision instanceof Decision.Start start) {
-                mFurtherAttempts += start.attempt() > 1 ? 1 : 0;
                 engine(start.upstream()).mQueue.add(new Attempt(start));
             } else if (decision instanceof Decision.Finish finish) {
                 mFinished.put(finish.work().id(), finish);
-                mFinishedAt.put(finish.work().id(), mNow);
+                endAttempts(finish.work().id(), number -> true);
             } else if (decision instanceof Decision.Cancel cancel) {
-                cancel(cancel);
-            }
-        }
-    }
-
-    private void cancel(Decision.Cancel cancel) {
-        for (FakeEngine engine : mEngines) {
-            List<Attempt> all = new ArrayList<>(engine.mQueue);
-            all.addAll(engine.mDecoding);
-            if (engine.mPrefill != null) {
-                all.add(engine.mPrefill);
-            }
-            for (Attempt attempt : all) {
-                if (attempt.mStart.work().id() == cancel.work().id()
-                        && attempt.mStart.attempt() == cancel.attempt()) {
-                    remove(engine, attempt);
-                    mScheduler.recordAttemptEnd(
-                            cancel.work().id(), cancel.attempt(), AttemptEnd.SUPERSEDED, mNow);
-                }
+                endAttempts(cancel.work().id(), number -> number == cancel.attempt());
             }
         }
     }
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/route/RouteTableTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/route/RouteTableTest.java
@@ -48,6 +48,32 @@
         assertThat(name("c.example", "/api/x")).isNull();
     }
 
+    /** A service with different targets orders its requests by them. */
+    @Test
+    void theTargetsOfAServiceAreThoseOfItsRoutes() {
+        Route tight = route("tight", "a.example", "/tight/", "one");
+        Route loose =
+                new Route(
+                        "loose",
+                        "a.example",
+                        "/loose/",
+                        tight.kind(),
+                        tight.timeout(),
+                        Duration.ofSeconds(10),
+                        Duration.ZERO,
+                        2,
+                        List.of(new Route.Target("one", 1), new Route.Target("two", 0)),
+                        1,
+                        false);
+        RouteTable table =
+                new RouteTable(
+                        1, List.of(tight, loose), List.of(), CallerLimits.UNCONFIGURED, null);
+
+        assertThat(table.latencyTargets("one"))
+                .containsExactlyInAnyOrder(Duration.ofMillis(100), Duration.ofSeconds(10));
+        assertThat(table.latencyTargets("two")).isEmpty();
+    }
+
     @Test
     void anUnknownKeyHasNoTeam() {
         assertThat(mTable.requiresKey()).isTrue();
