Add the placement policy "balanced" for calls

Cause: all instances select the upstream with the lowest cost by loads of the same age, so upstreams are overloaded in turn.

Change: the setting placement_policy selects lowest-cost (default, as before) or balanced. The latter selects upstreams in turn, in proportion to slots, speed (from their own answers) and free capacity, and uses another region when the wait at home exceeds the one there by two round trips. Streams are not affected yet.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -76,10 +76,30 @@
             FleetRetryBudget retries,
             UpstreamLimits limits,
             RandomGenerator random) {
+        this(service, locations, retries, limits, PlacementPolicy.Kind.LOWEST_COST, random);
+    }
+
+    /**
+     * Creates a scheduler without upstreams.
+     *
+     * @param service name of the service
+     * @param locations distances from this instance
+     * @param retries retry budget of the service
+     * @param limits limits stated by upstreams
+     * @param placement how upstreams are selected
+     * @param random source of randomness
+     */
+    public CallScheduler(
+            String service,
+            LocationMap locations,
+            FleetRetryBudget retries,
+            UpstreamLimits limits,
+            PlacementPolicy.Kind placement,
+            RandomGenerator random) {
         mService = service;
         mRetries = retries;
         mLimits = limits;
-        mTargets = new CallTargets(locations, limits, random);
+        mTargets = new CallTargets(locations, limits, placement.create(random), random);
         mChecks = new CallChecks(limits);
     }
 
@@ -151,7 +171,7 @@
             mChecks.request(target, nowNanos);
         }
         if (end == AttemptEnd.SUCCEEDED) {
-            mTargets.recordDuration(duration);
+            mTargets.recordDuration(target, duration);
             remove(work, nowNanos);
         } else if (!call.attempts().isEmpty()) {
             // The attempt beside it goes on.
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
@@ -20,6 +20,28 @@
      */
     private static final double SPREAD_FRACTION = 0.3;
 
+    /** Time over which reported loads are averaged; they are old when they arrive. */
+    private static final double MEAN_LOAD_NANOS = Duration.ofMillis(1_000).toNanos();
+
+    private static final double MIN_LOAD_WEIGHT = 0.1;
+
+    /** Load that is assumed where it is not known. */
+    private static final double UNKNOWN_LOAD = 0.5;
+
+    /** Time for which an average load is used; it decays over as long a time after that. */
+    private static final double KNOWN_LOAD_NANOS = Duration.ofMillis(2_000).toNanos();
+
+    /** Least duration of a call without its round trip; bounds the effect of the estimate. */
+    private static final double MIN_CALL_MILLIS = 1;
+
+    private static final double MIN_SPEED_WEIGHT = 0.05;
+
+    /** Number of average durations that are assumed before those of the upstream. */
+    private static final double SPEED_PRIOR = 3;
+
+    private static final double MAX_SPEED = 4;
+    private static final double NANOS_PER_MILLI = 1e6;
+
     /** Time over which a load reported by an upstream decays linearly to zero. */
     private static final long REPORTED_LOAD_NANOS = Duration.ofMillis(500).toNanos();
 
@@ -43,6 +65,9 @@
     private final List<Long> mStarts = new ArrayList<>();
 
     private final CallOutcomes mOutcomes = new CallOutcomes();
+    private double mMeanLoad;
+    private double mMeanMillis;
+    private int mDurations;
     private int mPeerRequests;
     private long mReportedAt;
     private boolean mReplaced;
@@ -260,16 +285,55 @@
 
     void recordLoad(UpstreamLoad load, long nowNanos) {
         mPeerRequests = Math.max(0, load.running() + load.waiting() - mStarts.size());
+        double age = nowNanos - mReportedAt;
+        double weight = Math.max(MIN_LOAD_WEIGHT, age / (age + MEAN_LOAD_NANOS));
+        mMeanLoad += weight * (load.running() + load.waiting() - mMeanLoad);
         mReportedAt = nowNanos;
     }
 
+    /** Records the duration of a call that was answered. */
+    void recordDuration(long nanos, Distance distance) {
+        double millis =
+                Math.max(MIN_CALL_MILLIS, nanos / NANOS_PER_MILLI - roundTripMillis(distance));
+        mDurations++;
+        mMeanMillis += Math.max(MIN_SPEED_WEIGHT, 1.0 / mDurations) * (millis - mMeanMillis);
+    }
+
+    /**
+     * Returns the requests at the upstream in relation to its slots, averaged over a short time. An
+     * old average is dropped, or an upstream that was full once would never be tried again.
+     */
+    double meanLoad(long nowNanos) {
+        double left = 2 - (double) (nowNanos - mReportedAt) / KNOWN_LOAD_NANOS;
+        double known = Math.min(1, Math.max(0, left));
+        double load = known * mMeanLoad / mUpstream.slots() + (1 - known) * UNKNOWN_LOAD;
+        return Math.max(load, (double) mStarts.size() / mUpstream.slots());
+    }
+
+    /**
+     * Returns the speed of the upstream in relation to others, from the duration of its own
+     * answers.
+     *
+     * @param callMillis mean duration of the calls to all upstreams
+     */
+    double speed(double callMillis) {
+        double millis =
+                (mDurations * mMeanMillis + SPEED_PRIOR * callMillis) / (mDurations + SPEED_PRIOR);
+        return Math.min(MAX_SPEED, Math.max(1 / MAX_SPEED, callMillis / millis));
+    }
+
     /** Returns the expected wait of a call on top of its own duration, milliseconds. */
     double cost(double callMillis, Distance distance, long nowNanos) {
         int slots = mUpstream.slots();
         double load = mStarts.size() + peerRequests(nowNanos);
         double wait = Math.max(0, load + 1 - slots) / slots * callMillis;
         double cost = wait + SPREAD_FRACTION * callMillis * load / slots;
-        cost += roundTripMillis(distance);
+        return cost + roundTripMillis(distance) + failureCost(nowNanos);
+    }
+
+    /** Returns the cost of failures that the upstream has not recovered from, milliseconds. */
+    double failureCost(long nowNanos) {
+        double cost = 0;
         if (mReachability.isFailing()) {
             cost += FAILURE_COST_MILLIS;
         }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTargets.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTargets.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import org.gentianwalk.core.dispatch.PlacementPolicy.Candidate;
 import org.gentianwalk.core.model.Location.Distance;
 import org.jspecify.annotations.Nullable;
 
@@ -33,9 +34,15 @@
 
     private final CallDuration mDuration = new CallDuration();
     private final CallFaults mFaults;
+    private final PlacementPolicy mPlacement;
     private @Nullable Long mStopsAt;
 
-    CallTargets(LocationMap locations, UpstreamLimits limits, RandomGenerator random) {
+    CallTargets(
+            LocationMap locations,
+            UpstreamLimits limits,
+            PlacementPolicy placement,
+            RandomGenerator random) {
+        mPlacement = placement;
         mLocations = locations;
         mLimits = limits;
         mRandom = random;
@@ -85,8 +92,9 @@
     }
 
     /** Records the duration of a call that was answered. */
-    void recordDuration(long nanos) {
+    void recordDuration(CallTarget target, long nanos) {
         mDuration.record(nanos);
+        target.recordDuration(nanos, mLocations.distance(target.upstream().zone()));
     }
 
     /** Returns the time without an answer from which a call is overdue, nanoseconds. */
@@ -142,23 +150,21 @@
 
     private @Nullable CallTarget choose(
             CallRun call, Predicate<CallTarget> isEligible, long nowNanos) {
-        CallTarget best = null;
-        double bestCost = 0;
+        List<CallTarget> eligible = new ArrayList<>();
+        List<Candidate> candidates = new ArrayList<>();
         Map<CallTarget, Double> faultCosts =
                 mFaults.costs(call, mTargets.values(), mDuration, nowNanos);
         for (CallTarget target : mTargets.values()) {
-            if (!target.isUsable()
-                    || !isEligible.test(target)
-                    || !mLimits.isPermitted(target.upstream(), nowNanos)) {
-                continue;
-            }
-            double cost = cost(target, call, nowNanos) + faultCosts.getOrDefault(target, 0.0);
-            if (best == null || cost < bestCost) {
-                best = target;
-                bestCost = cost;
+            if (target.isUsable()
+                    && isEligible.test(target)
+                    && mLimits.isPermitted(target.upstream(), nowNanos)) {
+                eligible.add(target);
+                candidates.add(candidate(target, call, faultCosts, nowNanos));
             }
         }
-        return best;
+        return eligible.isEmpty()
+                ? null
+                : eligible.get(mPlacement.select(candidates, mDuration.meanMillis()));
     }
 
     /** Returns the likely cause of an error that an upstream answered a call with. */
@@ -166,18 +172,27 @@
         return mFaults.cause(target, mTargets.values(), nowNanos);
     }
 
-    /** Returns the cost of a target, milliseconds; ties are broken at random. */
-    private double cost(CallTarget target, CallRun call, long nowNanos) {
+    private Candidate candidate(
+            CallTarget target, CallRun call, Map<CallTarget, Double> faultCosts, long nowNanos) {
         Distance distance = mLocations.distance(target.upstream().zone());
-        double cost = target.cost(mDuration.meanMillis(), distance, nowNanos);
-        cost += TIE_MILLIS * mRandom.nextDouble();
+        double meanMillis = mDuration.meanMillis();
+        // Ties are broken at random.
+        double cost =
+                target.cost(meanMillis, distance, nowNanos) + TIE_MILLIS * mRandom.nextDouble();
+        double penalty = faultCosts.getOrDefault(target, 0.0);
         if (call.hasReached(target)) {
-            cost += CallTarget.LAST_RESORT_COST_MILLIS;
+            penalty += CallTarget.LAST_RESORT_COST_MILLIS;
         }
         if (!canFinishAt(target, call, nowNanos)) {
-            cost += CallTarget.LAST_RESORT_COST_MILLIS;
+            penalty += CallTarget.LAST_RESORT_COST_MILLIS;
         }
-        return cost;
+        return new Candidate(
+                target.upstream(),
+                cost + penalty,
+                penalty + target.failureCost(nowNanos),
+                target.meanLoad(nowNanos),
+                target.speed(meanMillis),
+                distance);
     }
 
     /**
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
@@ -63,7 +63,12 @@
             WireDialect dialect,
             RowFormat rows,
             BiFunction<UpstreamSender, ScheduledExecutorService, RowStore> store) {
-        this(settings, dialect, rows, store, new DispatchSchedulers(settings.locations()));
+        this(
+                settings,
+                dialect,
+                rows,
+                store,
+                new DispatchSchedulers(settings.locations(), settings.placement()));
     }
 
     /**
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/DispatchSchedulers.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/DispatchSchedulers.java
@@ -4,6 +4,7 @@
 import org.gentianwalk.core.dispatch.CallScheduler;
 import org.gentianwalk.core.dispatch.FleetRetryBudget;
 import org.gentianwalk.core.dispatch.LocationMap;
+import org.gentianwalk.core.dispatch.PlacementPolicy;
 import org.gentianwalk.core.dispatch.StreamScheduler;
 import org.gentianwalk.core.dispatch.UpstreamLimits;
 import org.gentianwalk.core.dispatch.WorkScheduler;
@@ -15,14 +16,26 @@
  */
 public final class DispatchSchedulers implements SchedulerFactory {
     private final LocationMap mLocations;
+    private final PlacementPolicy.Kind mPlacement;
 
     /**
-     * Creates a factory.
+     * Creates a factory with the default placement policy.
      *
      * @param locations location of this instance and of the zones
      */
     public DispatchSchedulers(LocationMap locations) {
+        this(locations, PlacementPolicy.Kind.LOWEST_COST);
+    }
+
+    /**
+     * Creates a factory.
+     *
+     * @param locations location of this instance and of the zones
+     * @param placement how the upstreams of requests are selected
+     */
+    public DispatchSchedulers(LocationMap locations, PlacementPolicy.Kind placement) {
         mLocations = locations;
+        mPlacement = placement;
     }
 
     @Override
@@ -30,7 +43,7 @@
             ServiceSpec service, FleetRetryBudget retries, UpstreamLimits limits) {
         Random random = new Random();
         return service.engine() == null
-                ? new CallScheduler(service.name(), mLocations, retries, limits, random)
+                ? new CallScheduler(service.name(), mLocations, retries, limits, mPlacement, random)
                 : new StreamScheduler(
                         service.name(), service.engine(), mLocations, retries, limits, random);
     }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/settings/SettingsReader.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/settings/SettingsReader.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.gentianwalk.core.dispatch.LocationMap;
+import org.gentianwalk.core.dispatch.PlacementPolicy;
 import org.gentianwalk.core.dispatch.RetryBounds;
 import org.gentianwalk.core.model.Location;
 import org.gentianwalk.gateway.GatewaySettings;
@@ -46,7 +47,8 @@
                     "config_change_ms",
                     "upstream_change_ms",
                     "stop_grace_s",
-                    "log_level");
+                    "log_level",
+                    "placement_policy");
 
     private static final List<String> LOG_LEVELS = List.of("error", "warn", "info", "debug");
 
@@ -130,7 +132,8 @@
                 millis(root, "config_change_ms"),
                 millis(root, "upstream_change_ms"),
                 seconds(root, "stop_grace_s", DEFAULT_STOP_GRACE_S),
-                logLevel(root));
+                logLevel(root),
+                placement(root));
     }
 
     private static Map<String, String> zones(JsonNode root) throws SettingsException {
@@ -185,6 +188,20 @@
         return level;
     }
 
+    private static PlacementPolicy.Kind placement(JsonNode root) throws SettingsException {
+        String label =
+                root.path("placement_policy").asText(PlacementPolicy.Kind.LOWEST_COST.label());
+        List<String> labels = new ArrayList<>();
+        for (PlacementPolicy.Kind kind : PlacementPolicy.Kind.values()) {
+            if (kind.label().equals(label)) {
+                return kind;
+            }
+            labels.add(kind.label());
+        }
+        throw new SettingsException(
+                "key placement_policy must be one of " + labels + ", not " + label);
+    }
+
     private Duration millis(JsonNode root, String key) throws SettingsException {
         String variable = VARIABLE_PREFIX + key.toUpperCase(Locale.ROOT);
         String text = mEnvironment.get(variable);
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/settings/SettingsReaderTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/settings/SettingsReaderTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Objects;
+import org.gentianwalk.core.dispatch.PlacementPolicy;
 import org.gentianwalk.core.model.Location.Distance;
 import org.gentianwalk.gateway.GatewaySettings;
 import org.junit.jupiter.api.Test;
@@ -39,6 +40,7 @@
         assertThat(settings.metrics()).isNull();
         assertThat(settings.logLevel()).isEqualTo("info");
         assertThat(settings.stopGrace()).isPositive();
+        assertThat(settings.placement()).isEqualTo(PlacementPolicy.Kind.LOWEST_COST);
     }
 
     /** A deployment may be able to pass its bounds to the process but not into the file. */
@@ -82,6 +84,7 @@
         "out-of-range, key stop_grace_s must be a number",
         "short-secret, at least 16 bytes",
         "bad-level, key log_level must be one of",
+        "'bad-placement', 'key placement_policy must be one of [lowest-cost, balanced], not even'",
         "no-yaml, it has to be YAML",
         "list, must hold keys with values"
     })
