--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
@@ -69,7 +69,8 @@
                 dialect,
                 rows,
                 store,
-                new DispatchSchedulers(settings.locations(), settings.ordersByTarget()));
+                new DispatchSchedulers(
+                        settings.locations(), settings.ordersByTarget(), settings.placement()));
     }
 
     /**
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/GatewaySettings.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/GatewaySettings.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.gentianwalk.core.dispatch.LocationMap;
+import org.gentianwalk.core.dispatch.PlacementPolicy;
 import org.gentianwalk.core.dispatch.RetryBounds;
 import org.gentianwalk.server.mesh.MeshKey;
 import org.jspecify.annotations.Nullable;
@@ -24,6 +25,7 @@
  * @param stopGrace time from the request to stop until the process is killed
  * @param logLevel minimum level of the lines that are logged
  * @param ordersByTarget whether waiting generations of every service are ordered by their targets
+ * @param placement how the upstreams of requests are selected
  */
 public record GatewaySettings(
         String name,
@@ -38,9 +40,10 @@
         Duration upstreamChange,
         Duration stopGrace,
         String logLevel,
-        boolean ordersByTarget) {
+        boolean ordersByTarget,
+        PlacementPolicy.Kind placement) {
     /**
-     * Creates settings with the default order of waiting generations.
+     * Creates settings with the default order of waiting generations and placement policy.
      *
      * @param name its name, unique in the fleet
      * @param locations its location, and the regions of all zones
@@ -81,7 +84,8 @@
                 upstreamChange,
                 stopGrace,
                 logLevel,
-                false);
+                false,
+                PlacementPolicy.Kind.LOWEST_COST);
     }
 
     /**
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/DispatchSchedulers.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/DispatchSchedulers.java
@@ -4,6 +4,7 @@
 import org.gentianwalk.core.dispatch.CallScheduler;
 import org.gentianwalk.core.dispatch.FleetRetryBudget;
 import org.gentianwalk.core.dispatch.LocationMap;
+import org.gentianwalk.core.dispatch.PlacementPolicy;
 import org.gentianwalk.core.dispatch.StreamScheduler;
 import org.gentianwalk.core.dispatch.UpstreamLimits;
 import org.gentianwalk.core.dispatch.WorkScheduler;
@@ -16,14 +17,15 @@
 public final class DispatchSchedulers implements SchedulerFactory {
     private final LocationMap mLocations;
     private final boolean mOrdersByTarget;
+    private final PlacementPolicy.Kind mPlacement;
 
     /**
-     * Creates a factory.
+     * Creates a factory with the default order of generations and placement policy.
      *
      * @param locations location of this instance and of the zones
      */
     public DispatchSchedulers(LocationMap locations) {
-        this(locations, false);
+        this(locations, false, PlacementPolicy.Kind.LOWEST_COST);
     }
 
     /**
@@ -31,10 +33,13 @@
      *
      * @param locations location of this instance and of the zones
      * @param ordersByTarget whether generations are ordered by their targets for every service
+     * @param placement how the upstreams of requests are selected
      */
-    public DispatchSchedulers(LocationMap locations, boolean ordersByTarget) {
+    public DispatchSchedulers(
+            LocationMap locations, boolean ordersByTarget, PlacementPolicy.Kind placement) {
         mLocations = locations;
         mOrdersByTarget = ordersByTarget;
+        mPlacement = placement;
     }
 
     @Override
@@ -42,7 +47,7 @@
             ServiceSpec service, FleetRetryBudget retries, UpstreamLimits limits) {
         Random random = new Random();
         return service.engine() == null
-                ? new CallScheduler(service.name(), mLocations, retries, limits, random)
+                ? new CallScheduler(service.name(), mLocations, retries, limits, mPlacement, random)
                 : new StreamScheduler(
                         service.name(),
                         service.engine(),
