Let the soak's upstreams answer early and with invalid statuses

Cause: the soak's upstreams read each request whole, uploads had 2 bytes, and wrong statuses were no numbers, so that no soak met these faults.

Change: one request in 12 has a body of 1 MB. A third of the upstreams that get one send a part of an answer without a length and end without reading it. Wrong answers include the statuses 000, 099, 600 and 206. Buffers of relays and upstreams are bounded, so that an unread upload stays at the instance.

--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/FaultSoakTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/FaultSoakTest.java
@@ -89,6 +89,7 @@
                             "wrong events",
                             "wrong answers",
                             "extra bytes",
+                            "early answers",
                             "store restored");
         }
         assertThat(failed).isEmpty();
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/RawCaller.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/RawCaller.java
@@ -56,13 +56,25 @@
         return read(start);
     }
 
+    /** Sends a request with a body of a length and reads its response. */
+    Response upload(int length, String target, String id, String... headers) throws IOException {
+        long start = System.nanoTime();
+        send("u".repeat(length), target, id, headers);
+        return read(start);
+    }
+
     void send(String target, String id, String... headers) throws IOException {
+        send("hi", target, id, headers);
+    }
+
+    private void send(String body, String target, String id, String... headers) throws IOException {
         StringBuilder head = new StringBuilder("POST " + target + " HTTP/1.1\r\nHost: host\r\n");
-        head.append("x-id: ").append(id).append("\r\nContent-Length: 2\r\n");
+        head.append("x-id: ").append(id).append("\r\nContent-Length: ");
+        head.append(body.length()).append("\r\n");
         for (String header : headers) {
             head.append(header).append("\r\n");
         }
-        write(head + "\r\nhi");
+        write(head + "\r\n" + body);
     }
 
     void write(String text) throws IOException {
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/ScriptedUpstream.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/ScriptedUpstream.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -22,6 +23,8 @@
     /** Bytes of a body that are read when the rest of it is not. */
     private static final int FIRST_BYTES = 50;
 
+    private static final int BUFFER_BYTES = 64 << 10;
+
     private final String mId;
     private final ServerSocket mListener;
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
@@ -45,6 +48,11 @@
         String id() {
             return headers.getOrDefault("x-id", "");
         }
+
+        /** Returns the number of bytes of the body that were not read. */
+        int unread() {
+            return Integer.parseInt(headers.getOrDefault("content-length", "0")) - body.length;
+        }
     }
 
     /** A connection of an instance. */
@@ -54,6 +62,11 @@
             output.flush();
         }
 
+        /** Reads the rest of the body of a request that was read in part. */
+        void readRest(Request request) throws IOException {
+            socket.getInputStream().readNBytes(request.unread());
+        }
+
         /** Ends the connection with a reset. */
         void reset() throws IOException {
             socket.setSoLinger(true, 0);
@@ -79,7 +92,10 @@
     ScriptedUpstream(String id, Script script) throws IOException {
         mId = id;
         mScript = script;
-        mListener = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
+        mListener = new ServerSocket();
+        // The rest of a long body that is not read then stays at its sender.
+        mListener.setReceiveBufferSize(BUFFER_BYTES);
+        mListener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 512);
         Thread.ofVirtual().start(this::accept);
     }
 
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakCaller.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakCaller.java
@@ -13,6 +13,14 @@
     private static final List<String> PREFIXES = List.of("/safe/", "/once/", "/stream/", "/extra/");
     private static final List<String> KEYS = List.of("k0", "k1", "k2");
 
+    private static final int SHORT_UPLOAD = 2;
+
+    /** The longest body that the configuration allows; more than the sockets' buffers hold. */
+    private static final int LONG_UPLOAD = 1 << 20;
+
+    /** Number of requests of which one has a long body. */
+    private static final int LONG_INTERVAL = 12;
+
     private static final int FIRST_ERROR = 400;
     private static final int MILLIS_PER_SECOND = 1_000;
 
@@ -27,6 +35,10 @@
     private final List<SoakInstance> mInstances;
     private final Random mChoices;
     private final BooleanSupplier mRunning;
+
+    /** Draws the lengths of bodies apart from the choices, which stay those of earlier seeds. */
+    private final Random mUploadChoices;
+
     private int mSent;
 
     /** Target of a stream that was broken off, or null, and the events of it that arrived. */
@@ -48,6 +60,7 @@
         mInstances = instances;
         mChoices = choices;
         mRunning = running;
+        mUploadChoices = new Random(name.hashCode());
     }
 
     @Override
@@ -81,6 +94,7 @@
         }
         int limit = 1_000 + mChoices.nextInt(3_000);
         String key = KEYS.get(mChoices.nextInt(KEYS.size()));
+        int length = mUploadChoices.nextInt(LONG_INTERVAL) == 0 ? LONG_UPLOAD : SHORT_UPLOAD;
         long start = System.nanoTime();
         long idle = idleSince == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(start - idleSince);
         SoakHistory.Request request =
@@ -88,8 +102,13 @@
         RawCaller.Response response;
         try {
             response =
-                    caller.call(
-                            target, id, "x-key: " + key, "x-patience: " + limit, "x-last: " + last);
+                    caller.upload(
+                            length,
+                            target,
+                            id,
+                            "x-key: " + key,
+                            "x-patience: " + limit,
+                            "x-last: " + last);
         } catch (SocketTimeoutException e) {
             mHistory.unanswered(request, "nothing arrives");
             return false;
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakRelay.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakRelay.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -19,6 +20,9 @@
 
     private static final Pattern LEFT = Pattern.compile("(?i)\\r\\nx-left: (\\d+)\\r\\n");
 
+    /** Small, so that a long request that the upstream does not read stays at the instance. */
+    private static final int BUFFER_BYTES = 64 << 10;
+
     private final int mTarget;
     private final String mProcess;
     private final SoakAttempts mAttempts;
@@ -43,7 +47,9 @@
         mTarget = target;
         mProcess = process;
         mAttempts = attempts;
-        mListener = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
+        mListener = new ServerSocket();
+        mListener.setReceiveBufferSize(BUFFER_BYTES);
+        mListener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 512);
         Thread.ofVirtual().start(this::accept);
     }
 
@@ -90,7 +96,9 @@
                 Socket near = mListener.accept();
                 Socket far;
                 try {
-                    far = new Socket(InetAddress.getLoopbackAddress(), mTarget);
+                    far = new Socket();
+                    far.setSendBufferSize(BUFFER_BYTES);
+                    far.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), mTarget));
                 } catch (IOException e) {
                     reset(near);
                     continue;
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakUpstream.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/SoakUpstream.java
@@ -21,6 +21,9 @@
     /** Number of streams of which one gets a wrong event in addition. */
     private static final int WRONG_EVENT_INTERVAL = 6;
 
+    /** Number of long uploads of which one is answered before it is read. */
+    private static final int EARLY_ANSWER_INTERVAL = 3;
+
     private final String mId;
     private final String mService;
     private final SoakHistory mHistory;
@@ -155,6 +158,7 @@
             mIncarnation++;
             mProcess = mId + "/" + mIncarnation;
             mServer = new ScriptedUpstream(mId, this::respond);
+            mServer.readsBodies(false);
             String address = mServer.entry(mService, "a").address();
             int port = Integer.parseInt(address.split(":")[1]);
             mRelay = new SoakRelay(port, mProcess, mAttempts);
@@ -183,6 +187,12 @@
                 return;
             }
             mAttempts.received(request.id(), request.target(), mProcess);
+            if (request.unread() > 0) {
+                if (draw(EARLY_ANSWER_INTERVAL) == 0) {
+                    answerEarly(request, connection);
+                }
+                connection.readRest(request);
+            }
             Long extraBytesAt = mExtraBytesAt.get(connection);
             if (extraBytesAt != null
                     && System.nanoTime() - extraBytesAt < SoakAttempts.UNDER_WAY_NANOS) {
@@ -235,6 +245,31 @@
             mAttempts.answered(request.id(), mProcess);
         }
 
+        /** Sends a part of an answer without a length, and ends without reading the upload. */
+        private void answerEarly(
+                ScriptedUpstream.Request request, ScriptedUpstream.Connection connection)
+                throws Exception {
+            mHistory.count("early answers");
+            mHistory.executed(request.id(), request.target());
+            mAttempts.garbled(request.id(), mProcess, "sent a part of an answer to an upload");
+            connection.write(ScriptedUpstream.streamHead(request));
+            if (request.target().startsWith("/stream/")) {
+                int number = Integer.parseInt(request.headers().getOrDefault("x-last", "0")) + 1;
+                String run = mProcess + "#" + mRuns.incrementAndGet();
+                mAttempts.eventSent(request.id(), run, number);
+                connection.write(SoakEvents.event(number, request.target(), run));
+            } else {
+                connection.write(request.id());
+            }
+            Thread.sleep(draw(20));
+            if (draw(2) == 0) {
+                connection.socket().shutdownOutput();
+                Thread.sleep(draw(20));
+            }
+            connection.socket().close();
+            throw new IOException("the connection has ended");
+        }
+
         private void writeWithExtraBytes(
                 ScriptedUpstream.Request request,
                 ScriptedUpstream.Connection connection,
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/WrongAnswer.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/sockets/WrongAnswer.java
@@ -4,6 +4,10 @@
 enum WrongAnswer {
     NOISE("noise in place of a head\r\n\r\n"),
     NO_STATUS("HTTP/1.1 abc OK\r\nx-id: %s\r\nx-signed: 1\r\nContent-Length: 5\r\n\r\nwrong"),
+    STATUS_ZERO("HTTP/1.1 000 OK\r\nx-id: %s\r\nx-signed: 1\r\nContent-Length: 5\r\n\r\nwrong"),
+    STATUS_BELOW("HTTP/1.1 099 OK\r\nx-id: %s\r\nx-signed: 1\r\n\r\nwrong"),
+    STATUS_ABOVE("HTTP/1.1 600 OK\r\nx-id: %s\r\nx-signed: 1\r\nContent-Length: 5\r\n\r\nwrong"),
+    PART("HTTP/1.1 206 OK\r\nx-id: %s\r\nx-signed: 1\r\nContent-Length: 5\r\n\r\nwrong"),
     UNSIGNED("HTTP/1.1 200 OK\r\nx-id: %s\r\nContent-Length: 5\r\n\r\nwrong"),
     NO_REQUEST("HTTP/1.1 200 OK\r\nx-signed: 1\r\nContent-Length: 5\r\n\r\nwrong"),
     OTHER_REQUEST("HTTP/1.1 200 OK\r\nx-id: other-%s\r\nx-signed: 1\r\n\r\nwrong"),
