--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/ContentionTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/ContentionTest.java
@@ -18,7 +18,7 @@
 
     /** Streams that can wait for 10 s must not delay those that are due after 4 s. */
     @Test
-    void aBurstOf2_2OfLooseStreamsDoesNotDelayTightOnes() {
+    void aBurstOfLooseStreamsBy2Point2DoesNotDelayTightOnes() {
         StreamFleet byArrival = burst(Set.of(StreamFleet.LOOSE));
         StreamFleet byTarget = burst(TARGETS);
 
