Add settings, rows and conditional writes of version rollouts

Cause: rollouts need the bounds on exposure, the platform's order and status rows, and a write that takes effect only on a known version of a row.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/GatewaySettings.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/GatewaySettings.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.gentianwalk.core.dispatch.LocationMap;
 import org.gentianwalk.core.dispatch.RetryBounds;
+import org.gentianwalk.core.rollout.ExposureLimits;
 import org.gentianwalk.server.mesh.MeshKey;
 import org.jspecify.annotations.Nullable;
 
@@ -23,6 +24,7 @@
  * @param upstreamChange time within which a change in the list of upstreams must be in force
  * @param stopGrace time from the request to stop until the process is killed
  * @param logLevel minimum level of the lines that are logged
+ * @param exposure bounds of version rollouts, or null when rollouts are not handled
  */
 public record GatewaySettings(
         String name,
@@ -36,7 +38,53 @@
         Duration configChange,
         Duration upstreamChange,
         Duration stopGrace,
-        String logLevel) {
+        String logLevel,
+        @Nullable ExposureLimits exposure) {
+    /**
+     * Creates settings of an instance that does not handle version rollouts.
+     *
+     * @param name its name, unique in the fleet
+     * @param locations its location, and the regions of all zones
+     * @param callers address on which callers are served
+     * @param readiness address on which the readiness check is served
+     * @param metrics address on which metrics are served, or null for none
+     * @param mesh address and keys of the mesh between instances
+     * @param store address of the shared store
+     * @param retries the fleet's bounds on retries
+     * @param configChange time within which a new configuration must be in force
+     * @param upstreamChange time within which a change in the list of upstreams must be in force
+     * @param stopGrace time from the request to stop until the process is killed
+     * @param logLevel minimum level of the lines that are logged
+     */
+    public GatewaySettings(
+            String name,
+            LocationMap locations,
+            InetSocketAddress callers,
+            InetSocketAddress readiness,
+            @Nullable InetSocketAddress metrics,
+            Mesh mesh,
+            String store,
+            RetryBounds retries,
+            Duration configChange,
+            Duration upstreamChange,
+            Duration stopGrace,
+            String logLevel) {
+        this(
+                name,
+                locations,
+                callers,
+                readiness,
+                metrics,
+                mesh,
+                store,
+                retries,
+                configChange,
+                upstreamChange,
+                stopGrace,
+                logLevel,
+                null);
+    }
+
     /**
      * Settings of the mesh between instances.
      *
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadExchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadExchange.java
@@ -119,6 +119,7 @@
         }
         mListener.statedLimits().forEach(limit -> notice.addLimits(LoadCodec.encode(limit)));
         notice.addAllLeaving(mListener.leavingProcesses());
+        mListener.rollouts().forEach(report -> notice.addRollouts(RolloutCodec.encode(report)));
         boolean includeRemote = !mWideFleet || now - mSentRemoteAt >= REPEAT_INTERVAL_NANOS;
         if (includeRemote) {
             mSentRemoteAt = now;
@@ -149,6 +150,11 @@
             if (notice.getLeavingCount() > 0) {
                 mListener.recordPeerLeaving(notice.getLeavingList());
             }
+            if (notice.getRolloutsCount() > 0) {
+                mListener.recordPeerRollouts(
+                        peerKey(notice.getInstance(), notice.getIncarnation()),
+                        RolloutCodec.decode(notice.getRolloutsList()));
+            }
         }
     }
 
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadListener.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadListener.java
@@ -4,6 +4,7 @@
 import org.gentianwalk.core.dispatch.InstanceLoad;
 import org.gentianwalk.core.dispatch.PeerView;
 import org.gentianwalk.core.dispatch.StatedLimit;
+import org.gentianwalk.core.rollout.RolloutReport;
 
 /**
  * Supplies the load of this instance and receives that of the other instances. Called on the
@@ -60,6 +61,25 @@
      */
     void recordPeerLeaving(List<String> processes);
 
+    /**
+     * Returns what this instance has observed of version rollouts.
+     *
+     * @return one report for each rollout
+     */
+    default List<RolloutReport> rollouts() {
+        return List.of();
+    }
+
+    /**
+     * Records what another instance has observed of version rollouts.
+     *
+     * @param instance the instance and its incarnation
+     * @param reports its reports, one for each rollout
+     */
+    default void recordPeerRollouts(String instance, List<RolloutReport> reports) {
+        // Without rollouts there is nothing to record.
+    }
+
     /**
      * Updates the live instances; reports of others are discarded.
      *
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/settings/SettingsReader.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/settings/SettingsReader.java
@@ -18,8 +18,10 @@
 import org.gentianwalk.core.dispatch.LocationMap;
 import org.gentianwalk.core.dispatch.RetryBounds;
 import org.gentianwalk.core.model.Location;
+import org.gentianwalk.core.rollout.ExposureLimits;
 import org.gentianwalk.gateway.GatewaySettings;
 import org.gentianwalk.server.mesh.MeshKey;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Reads and validates the settings file of an instance, in YAML. Unknown keys, missing keys and
@@ -46,7 +48,10 @@
                     "config_change_ms",
                     "upstream_change_ms",
                     "stop_grace_s",
-                    "log_level");
+                    "log_level",
+                    "exposure_share",
+                    "exposure_slack",
+                    "rollback_ms");
 
     private static final List<String> LOG_LEVELS = List.of("error", "warn", "info", "debug");
 
@@ -58,6 +63,10 @@
     private static final double MIN_CHANGE_MS = 500;
     private static final double MAX_CHANGE_MS = 60_000;
     private static final int MAX_PORT = 65_535;
+    private static final int DEFAULT_EXPOSURE_SLACK = 0;
+    private static final double DEFAULT_ROLLBACK_MS = 5_000;
+    private static final double MAX_ROLLBACK_MS = 600_000;
+    private static final long NANOS_PER_MILLI = 1_000_000;
     private static final double MILLIS_PER_SECOND = 1000;
 
     /** Prefix of the environment variables that stand for keys; the key follows in capitals. */
@@ -130,7 +139,20 @@
                 millis(root, "config_change_ms"),
                 millis(root, "upstream_change_ms"),
                 seconds(root, "stop_grace_s", DEFAULT_STOP_GRACE_S),
-                logLevel(root));
+                logLevel(root),
+                exposure(root));
+    }
+
+    /** Returns the bounds of version rollouts, or null when rollouts are not handled. */
+    private static @Nullable ExposureLimits exposure(JsonNode root) throws SettingsException {
+        // Checked in any case, so that a wrong value is found before the first rollout.
+        double share = number(root, "exposure_share", 0, 0, 1);
+        double slack = number(root, "exposure_slack", DEFAULT_EXPOSURE_SLACK, 0, 1e6);
+        double millis = number(root, "rollback_ms", DEFAULT_ROLLBACK_MS, 0, MAX_ROLLBACK_MS);
+        if (!root.hasNonNull("exposure_share")) {
+            return null;
+        }
+        return new ExposureLimits(share, (int) slack, Math.round(millis * NANOS_PER_MILLI));
     }
 
     private static Map<String, String> zones(JsonNode root) throws SettingsException {
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/RowFormat.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/RowFormat.java
@@ -2,6 +2,7 @@
 
 import org.gentianwalk.core.dispatch.Upstream;
 import org.gentianwalk.core.route.RouteTable;
+import org.jspecify.annotations.Nullable;
 
 /** Names the tables of the shared store and parses their rows. Stateless. */
 public interface RowFormat {
@@ -44,4 +45,13 @@
      * @throws UnreadableRowException if the value is not a valid entry
      */
     Upstream parseUpstream(String id, byte[] value) throws UnreadableRowException;
+
+    /**
+     * Returns the rows of version rollouts.
+     *
+     * @return their format, or null when the platform has no rollouts
+     */
+    default @Nullable RolloutFormat rollouts() {
+        return null;
+    }
 }
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/RowStore.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/store/RowStore.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.jspecify.annotations.Nullable;
 
@@ -40,6 +41,46 @@
     CompletionStage<Result> write(
             String table, String key, byte @Nullable [] value, Duration timeout);
 
+    /**
+     * Writes one row if the store holds it in the expected version.
+     *
+     * @param table the table
+     * @param key key of the row
+     * @param value the value
+     * @param expected version at which the row must have been written; 0 when it must not exist
+     * @param timeout longest wait for the response
+     * @return the result; the stage never fails
+     */
+    default CompletionStage<WriteResult> writeIf(
+            String table, String key, byte[] value, long expected, Duration timeout) {
+        return CompletableFuture.completedFuture(
+                new WriteResult.Unknown("the store does not support conditional writes"));
+    }
+
+    /** Result of a conditional write. */
+    sealed interface WriteResult {
+        /**
+         * The write took effect.
+         *
+         * @param version version at which the row was written; 0 when the store does not state it
+         */
+        record Written(long version) implements WriteResult {}
+
+        /**
+         * The row has another version, so nothing was written.
+         *
+         * @param current the row in the store, or null when there is none or it is not stated
+         */
+        record Conflict(@Nullable Row current) implements WriteResult {}
+
+        /**
+         * The write may have taken effect, or may still take effect while its condition holds.
+         *
+         * @param reason status or failure, for the log
+         */
+        record Unknown(String reason) implements WriteResult {}
+    }
+
     /** Result of a call. */
     sealed interface Result {
         /**
