--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -57,6 +57,7 @@
     private final Set<CallRun> mWaiting = new LinkedHashSet<>();
 
     private List<Decision> mDecisions = new ArrayList<>();
+    private VersionGate mGate = VersionGate.OPEN;
     private @Nullable Long mStopsAt;
 
     /**
@@ -155,6 +156,12 @@
         }
     }
 
+    @Override
+    public void versionGate(VersionGate gate) {
+        mGate = gate;
+        mTargets.versionGate(gate);
+    }
+
     @Override
     public void stopAt(long nanos) {
         mStopsAt = nanos;
@@ -394,6 +401,7 @@
         call.recordStart(target, nowNanos);
         target.recordStart(nowNanos);
         mLimits.recordSent(target.upstream(), nowNanos);
+        mGate.recordStart(call.work(), call.attempt(), target.upstream(), nowNanos);
         mDecisions.add(
                 new Decision.Start(
                         call.work(),
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTargets.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTargets.java
@@ -32,6 +32,7 @@
     private final Map<String, CallTarget> mUnlisted = new HashMap<>();
 
     private final CallDuration mDuration = new CallDuration();
+    private VersionGate mGate = VersionGate.OPEN;
     private @Nullable Long mStopsAt;
 
     CallTargets(LocationMap locations, UpstreamLimits limits, RandomGenerator random) {
@@ -77,6 +78,11 @@
         mUnlisted.keySet().removeAll(mTargets.keySet());
     }
 
+    /** Sets which versions of upstreams may get a call. */
+    void versionGate(VersionGate gate) {
+        mGate = gate;
+    }
+
     /** Sets the time at which the instance stops. */
     void stopAt(long nanos) {
         mStopsAt = nanos;
@@ -130,11 +136,21 @@
 
     private @Nullable CallTarget choose(
             CallRun call, Predicate<CallTarget> isEligible, long nowNanos) {
+        VersionGate preferred = mGate.preferred(call.work(), nowNanos);
+        CallTarget target = choose(call, isEligible, preferred, nowNanos);
+        return target != null || preferred == mGate
+                ? target
+                : choose(call, isEligible, mGate, nowNanos);
+    }
+
+    private @Nullable CallTarget choose(
+            CallRun call, Predicate<CallTarget> isEligible, VersionGate gate, long nowNanos) {
         CallTarget best = null;
         double bestCost = 0;
         for (CallTarget target : mTargets.values()) {
             if (!target.isUsable()
                     || !isEligible.test(target)
+                    || !gate.isPermitted(call.work(), target.upstream(), nowNanos)
                     || !mLimits.isPermitted(target.upstream(), nowNanos)) {
                 continue;
             }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/EngineSelector.java
@@ -84,6 +84,7 @@
     private final EngineSpeed mSpeed;
     private final UpstreamLimits mLimits;
     private final RandomGenerator mRandom;
+    private VersionGate mGate = VersionGate.OPEN;
     private boolean mWide;
     private double mPosition;
 
@@ -102,6 +103,11 @@
         mRandom = random;
     }
 
+    /** Sets which versions of engines may get an attempt. */
+    void versionGate(VersionGate gate) {
+        mGate = gate;
+    }
+
     /** Updates the live instances. */
     void updatePeers(PeerView peers) {
         // Load reports of other regions are then sent at intervals only.
@@ -117,6 +123,15 @@
      * @param nowNanos current time
      */
     @Nullable EngineState select(StreamRun run, int reserved, long nowNanos) {
+        VersionGate preferred = mGate.preferred(run.work(), nowNanos);
+        EngineState engine = select(run, reserved, preferred, nowNanos);
+        return engine != null || preferred == mGate
+                ? engine
+                : select(run, reserved, mGate, nowNanos);
+    }
+
+    private @Nullable EngineState select(
+            StreamRun run, int reserved, VersionGate gate, long nowNanos) {
         EngineState best = null;
         double bestCost = 0;
         EngineState cacheHolder = cacheHolder(run, nowNanos);
@@ -128,6 +143,7 @@
             if (engine.running() >= mSpec.slots()
                     || !run.mayUse(engine, reserved)
                     || run.isRepeat() && engine.isSilent()
+                    || !gate.isPermitted(run.work(), engine.upstream(), nowNanos)
                     || !mLimits.isPermitted(engine.upstream(), nowNanos)) {
                 continue;
             }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamScheduler.java
@@ -10,6 +10,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.gentianwalk.core.dispatch.Decision.Ending;
 import org.gentianwalk.core.policy.PolicyOptions;
@@ -56,6 +57,12 @@
     /** Maximum number of rejections by engines before a generation is refused. */
     private static final int MAX_REJECTIONS = 8;
 
+    /**
+     * Maximum number of streams moved at once. Each costs a prefill, and moving all of them in one
+     * step would delay the first output of new requests.
+     */
+    private static final int MAX_MOVES = 2;
+
     /** Last priority in the queue of an engine, which serves 0 first. */
     private static final int LAST_PRIORITY = 9;
 
@@ -92,6 +99,7 @@
     private int mOpenCacheQueries;
     private boolean mHasQueriedCaches;
     private long mQueriedCachesAt;
+    private VersionGate mGate = VersionGate.OPEN;
     private @Nullable Long mStopsAt;
 
     /**
@@ -363,6 +371,44 @@
         }
     }
 
+    @Override
+    public void versionGate(VersionGate gate) {
+        mGate = gate;
+        mSelector.versionGate(gate);
+    }
+
+    @Override
+    public void moveStreams(Predicate<Upstream> from, long nowNanos) {
+        int moved = 0;
+        for (StreamRun run : List.copyOf(mRuns.values())) {
+            if (moved == MAX_MOVES) {
+                return;
+            }
+            if (run.work().kind().isRepeatable()
+                    && run.attempts().size() == 1
+                    && from.test(run.attempts().getFirst().engine().upstream())
+                    && move(run, run.attempts().getFirst(), from, nowNanos)) {
+                moved++;
+            }
+        }
+    }
+
+    /** Continues a stream at another engine, and returns whether there is one for it. */
+    private boolean move(
+            StreamRun run, StreamAttempt attempt, Predicate<Upstream> from, long nowNanos) {
+        EngineState engine = mSelector.select(run, 0, nowNanos);
+        if (engine == null
+                || from.test(engine.upstream())
+                || verdict(run, nowNanos) != Verdict.UNKNOWN
+                || !mRetries.tryOptionalRetry(nowNanos)) {
+            return false;
+        }
+        run.recordEnd(attempt, AttemptEnd.SUPERSEDED, "the move to another version");
+        mWaiting.remove(run);
+        start(run, engine, null, "shortest expected time to first output", nowNanos);
+        return true;
+    }
+
     @Override
     public void stopAt(long nanos) {
         mStopsAt = nanos;
@@ -541,6 +587,7 @@
                 || !attempt.hasOutput()
                 || !mEngineView.isUsable(copyHolder, nowNanos)
                 || copyHolder.isSilent()
+                || !mGate.isPermitted(attempt.run().work(), copyHolder.upstream(), nowNanos)
                 || !mLimits.isPermitted(copyHolder.upstream(), nowNanos)) {
             return null;
         }
@@ -714,6 +761,7 @@
                         expected,
                         nowNanos);
         run.recordStart(started);
+        mGate.recordStart(run.work(), started.number(), engine.upstream(), nowNanos);
         mLoadChanges++;
         mDecisions.add(
                 new Decision.Start(
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/VersionGate.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/VersionGate.java
@@ -15,12 +15,25 @@
      */
     boolean isPermitted(Work work, Upstream upstream, long nowNanos);
 
+    /**
+     * Returns the gate to try first for a new attempt of a request. It permits no upstream that
+     * this gate does not permit. Changes no state.
+     *
+     * @param work the request
+     * @param nowNanos current time
+     * @return the gate of the preferred version, or this gate if no version is preferred
+     */
+    default VersionGate preferred(Work work, long nowNanos) {
+        return this;
+    }
+
     /**
      * Records that an attempt was started.
      *
      * @param work the request
+     * @param attempt number of the attempt, starting at 1
      * @param upstream its upstream
      * @param nowNanos current time
      */
-    default void recordStart(Work work, Upstream upstream, long nowNanos) {}
+    default void recordStart(Work work, int attempt, Upstream upstream, long nowNanos) {}
 }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/WorkScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/WorkScheduler.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
+import java.util.function.Predicate;
 
 /**
  * Decides when and on which upstream each request of a service runs. Implementations use no clock,
@@ -64,6 +65,26 @@
      */
     void remove(long work, long nowNanos);
 
+    /**
+     * Sets which versions of upstreams may get new attempts; all may by default.
+     *
+     * @param gate decides for each attempt
+     */
+    default void versionGate(VersionGate gate) {
+        // A scheduler without attempts of its own has no use for it.
+    }
+
+    /**
+     * Continues some of the streams that may be resumed at other upstreams. Must be called again
+     * until none is left.
+     *
+     * @param from tests for the upstreams that the streams have to leave
+     * @param nowNanos current time
+     */
+    default void moveStreams(Predicate<Upstream> from, long nowNanos) {
+        // Short calls end by themselves.
+    }
+
     /**
      * Sets the time at which the instance stops. Calls that can't be finished by then are refused,
      * and requests that are still in progress then are ended.
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/Gateway.java
@@ -4,6 +4,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.Executors;
@@ -44,6 +45,7 @@
     private final ControlPlane mControlPlane;
     private final EdgeServer mEdge;
     private final StatusServer mStatus;
+    private final StatusServer mMetrics;
     private final UpstreamClient mClient;
     private final BiFunction<UpstreamSender, ScheduledExecutorService, RowStore> mStore;
     private final FailureGuard mGuard;
@@ -101,6 +103,12 @@
         TrafficHandler handler =
                 new TrafficHandler(mControlPlane::table, collaborators, () -> mStopping);
         mStatus = new StatusServer(mTraffic, Map.of(dialect.readinessPath(), this::readiness));
+        mMetrics =
+                new StatusServer(
+                        mTraffic,
+                        Map.of(
+                                "/metrics",
+                                () -> new StatusServer.Page(OK, mControlPlane.metrics())));
         mEdge =
                 new EdgeServer(
                         mTraffic,
@@ -126,6 +134,11 @@
     public void start() throws IOException {
         mEdge.listen(mSettings.callers());
         mStatus.listen(mSettings.readiness());
+        InetSocketAddress metrics = mSettings.metrics();
+        // So far only rollouts have metrics.
+        if (metrics != null && mSettings.exposure() != null) {
+            mMetrics.listen(metrics);
+        }
         mControlPlane.start(mStore.apply(mClient, mTraffic.next()));
         mTraffic.next()
                 .scheduleWithFixedDelay(
@@ -180,6 +193,7 @@
         mControl.shutdownNow();
         mClient.close();
         mStatus.close();
+        mMetrics.close();
         mTraffic.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2_000);
     }
 
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ConfigTableListener.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ConfigTableListener.java
@@ -8,6 +8,7 @@
 import org.gentianwalk.gateway.store.RowStore.Row;
 import org.gentianwalk.gateway.store.TableListener;
 import org.gentianwalk.gateway.store.UnreadableRowException;
+import org.jspecify.annotations.Nullable;
 
 /** Parses changes of the configuration. Confined to the control thread. */
 final class ConfigTableListener implements TableListener {
@@ -15,6 +16,7 @@
     private final Consumer<RouteTable> mConsumer;
     private final Runnable mRestored;
     private final GatewayLog mLog;
+    private final @Nullable RolloutCoordinator mRollouts;
 
     /**
      * Creates a listener.
@@ -23,22 +25,38 @@
      * @param consumer receives each configuration that can be read
      * @param restored called when the store has come back from a copy
      * @param log logs rows that can't be read, and outages
+     * @param rollouts receives the orders of rollouts, or null for none
      */
     ConfigTableListener(
-            RowFormat rowFormat, Consumer<RouteTable> consumer, Runnable restored, GatewayLog log) {
+            RowFormat rowFormat,
+            Consumer<RouteTable> consumer,
+            Runnable restored,
+            GatewayLog log,
+            @Nullable RolloutCoordinator rollouts) {
         mRowFormat = rowFormat;
         mConsumer = consumer;
         mRestored = restored;
         mLog = log;
+        mRollouts = rollouts;
     }
 
     @Override
     public void replaced(List<Row> rows) {
-        changed(rows);
+        applyConfiguration(rows);
+        if (mRollouts != null) {
+            mRollouts.replaceOrders(rows);
+        }
     }
 
     @Override
     public void changed(List<Row> rows) {
+        applyConfiguration(rows);
+        if (mRollouts != null) {
+            mRollouts.changeOrders(rows);
+        }
+    }
+
+    private void applyConfiguration(List<Row> rows) {
         for (Row row : rows) {
             if (!row.key().equals(mRowFormat.configKey()) || row.removed()) {
                 continue;
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -35,6 +35,8 @@
 import org.gentianwalk.core.dispatch.UpstreamLoad;
 import org.gentianwalk.core.dispatch.Work;
 import org.gentianwalk.core.dispatch.WorkScheduler;
+import org.gentianwalk.core.rollout.ExposureLimits;
+import org.gentianwalk.core.rollout.RolloutReport;
 import org.gentianwalk.core.route.RouteTable;
 import org.gentianwalk.core.route.ServiceSpec;
 import org.gentianwalk.core.time.Ticker;
@@ -42,6 +44,7 @@
 import org.gentianwalk.gateway.fleet.FleetLink;
 import org.gentianwalk.gateway.fleet.LoadListener;
 import org.gentianwalk.gateway.log.GatewayLog;
+import org.gentianwalk.gateway.store.RolloutFormat;
 import org.gentianwalk.gateway.store.RowFormat;
 import org.gentianwalk.gateway.store.RowStore;
 import org.gentianwalk.gateway.store.TableListener;
@@ -124,6 +127,7 @@
     private PeerView mPeers = PeerView.ALONE;
     private @Nullable FleetLink mFleet;
     private @Nullable EvidenceKeeper mEvidence;
+    private volatile @Nullable RolloutCoordinator mRollouts;
     private @Nullable RouteTable mHeldBack;
     private @Nullable Long mStopsAt;
     private @Nullable Long mTickDueAt;
@@ -174,6 +178,8 @@
      * @throws IOException if the address of the mesh can't be bound
      */
     public void start(RowStore store) throws IOException {
+        RolloutCoordinator rollouts = createRollouts(store);
+        mRollouts = rollouts;
         FleetLink fleet = new FleetLink(mSettings, this, store, mControl, mTicker, mLog, mGuard);
         mWatchers.add(
                 createWatcher(
@@ -181,7 +187,11 @@
                         fleet,
                         mRowFormat.configTable(),
                         new ConfigTableListener(
-                                mRowFormat, this::applyConfiguration, this::storeRestored, mLog),
+                                mRowFormat,
+                                this::applyConfiguration,
+                                this::storeRestored,
+                                mLog,
+                                rollouts),
                         WatchTimes.within(mSettings.configChange(), STORE_TIMEOUT, CONFIG_PAUSE)));
         mWatchers.add(
                 createWatcher(
@@ -192,6 +202,18 @@
                                 mRowFormat, mDirectory, this::applyDirectory, mTicker, mLog),
                         WatchTimes.within(
                                 mSettings.upstreamChange(), STORE_TIMEOUT, UPSTREAM_PAUSE)));
+        RolloutFormat format = mRowFormat.rollouts();
+        if (rollouts != null && format != null) {
+            rollouts.ownKey(fleet.ownKey());
+            mWatchers.add(
+                    createWatcher(
+                            store,
+                            fleet,
+                            format.statusTable(),
+                            new RolloutStatusListener(rollouts, mLog),
+                            WatchTimes.within(
+                                    mSettings.configChange(), STORE_TIMEOUT, CONFIG_PAUSE)));
+        }
         fleet.setWatchers(mWatchers);
         fleet.start(mSettings.mesh().address());
         mFleet = fleet;
@@ -218,6 +240,44 @@
         scheduleTick();
     }
 
+    /** Returns the coordinator of rollouts, or null when the settings do not enable them. */
+    private @Nullable RolloutCoordinator createRollouts(RowStore store) {
+        ExposureLimits exposure = mSettings.exposure();
+        RolloutFormat format = mRowFormat.rollouts();
+        if (exposure == null || format == null) {
+            return null;
+        }
+        return new RolloutCoordinator(
+                mSettings.name(),
+                exposure,
+                format,
+                store,
+                mControl,
+                mTicker,
+                System::currentTimeMillis,
+                mDirectory::upstreams,
+                mLog,
+                mGuard);
+    }
+
+    /**
+     * Returns the metrics of the instance.
+     *
+     * @return lines in the Prometheus text format
+     */
+    public String metrics() {
+        RolloutCoordinator rollouts = mRollouts;
+        return rollouts == null ? "" : rollouts.metrics();
+    }
+
+    /** Passes an observation to the rollouts if there are any; a failure affects nothing else. */
+    private void observe(Consumer<RolloutCoordinator> observation) {
+        RolloutCoordinator rollouts = mRollouts;
+        if (rollouts != null) {
+            mGuard.run("rollouts", () -> observation.accept(rollouts));
+        }
+    }
+
     /** Writes the rows of this instance again, which the store may have lost. */
     private void storeRestored() {
         FleetLink fleet = mFleet;
@@ -322,11 +382,13 @@
     public void progress(long work, int attempt, Progress progress, boolean first) {
         mRequests.bufferProgress(work, attempt, progress);
         if (first) {
+            long firstNanos = progress.lastNanos();
             // The first output ends the prefill and frees the engine for the next prompt.
             execute(
                     work,
                     () -> {
                         drainInput();
+                        observe(rollouts -> rollouts.recordFirst(work, attempt, firstNanos));
                         ActiveRequests.Request request = mRequests.find(work);
                         if (request != null) {
                             mLog.outputStarted(request.work(), attempt, mTicker.nanos());
@@ -373,6 +435,7 @@
                     if (load != null) {
                         request.scheduler().recordLoad(work, load, mTicker.nanos());
                     }
+                    observe(rollouts -> rollouts.recordEnd(work, attempt, end));
                     request.scheduler().recordAttemptEnd(work, attempt, end, mTicker.nanos());
                     executeDecisions(request.scheduler());
                 });
@@ -391,6 +454,8 @@
                     if (load != null) {
                         request.scheduler().recordLoad(work, load, mTicker.nanos());
                     }
+                    observe(
+                            rollouts -> rollouts.recordEnd(work, attempt, AttemptEnd.SUCCEEDED));
                     request.scheduler()
                             .recordAttemptEnd(work, attempt, AttemptEnd.SUCCEEDED, mTicker.nanos());
                     mLog.responseDelivered(request.work(), attempt, delivery, mTicker.nanos());
@@ -499,6 +564,7 @@
         }
         mRequests.add(new ActiveRequests.Request(work, scheduler, exchange));
         drainInput();
+        observe(rollouts -> rollouts.recordRequest(work));
         scheduler.offer(work, mTicker.nanos());
         executeDecisions(scheduler);
     }
@@ -507,6 +573,7 @@
         try {
             drainInput();
             mGuard.run("directory of upstreams", this::advanceDirectory);
+            observe(this::advanceRollouts);
             forEachScheduler(this::executeDecisions);
             mGuard.run("retired schedulers", this::advanceRetired);
             EvidenceKeeper evidence = mEvidence;
@@ -519,6 +586,29 @@
         }
     }
 
+    private void advanceRollouts(RolloutCoordinator rollouts) {
+        rollouts.advance(work -> mRequests.find(work) != null);
+        mSchedulers.forEach(
+                (service, scheduler) -> {
+                    if (rollouts.movesStreams(service)) {
+                        scheduler.moveStreams(rollouts::isOld, mTicker.nanos());
+                    }
+                });
+    }
+
+    /** Records what a decision means for the attempts that the rollouts observe. */
+    private void observe(Decision decision) {
+        if (decision instanceof Decision.Start start) {
+            observe(
+                    rollouts ->
+                            rollouts.retainAttempts(
+                                    start.work().id(), start.attempt(), start.beside()));
+        } else if (decision instanceof Decision.Finish finish
+                && finish.ending() == Ending.TIMED_OUT) {
+            observe(rollouts -> rollouts.recordTimeout(finish.work().id()));
+        }
+    }
+
     private void scheduleTick() {
         Duration pause = mRequests.isEmpty() ? IDLE_TICK : TICK;
         mTickDueAt = mTicker.nanos() + pause.toNanos();
@@ -555,7 +645,8 @@
 
     @Override
     public long loadChanges() {
-        long[] changes = {mLimits.changes()};
+        RolloutCoordinator rollouts = mRollouts;
+        long[] changes = {mLimits.changes() + (rollouts == null ? 0 : rollouts.changes())};
         forEachScheduler(
                 scheduler ->
                         changes[0] +=
@@ -588,9 +679,21 @@
         }
     }
 
+    @Override
+    public List<RolloutReport> rollouts() {
+        RolloutCoordinator rollouts = mRollouts;
+        return rollouts == null ? List.of() : rollouts.reports();
+    }
+
+    @Override
+    public void recordPeerRollouts(String instance, List<RolloutReport> reports) {
+        observe(rollouts -> rollouts.recordPeerReports(instance, reports));
+    }
+
     @Override
     public void updatePeers(PeerView peers) {
         mPeers = peers;
+        observe(rollouts -> rollouts.updatePeers(peers));
         mLimits.updatePeers(peers);
         forEachScheduler(
                 scheduler -> {
@@ -660,6 +763,7 @@
             return;
         }
         for (Decision decision : scheduler.advance(mTicker.nanos())) {
+            observe(decision);
             mRequests.execute(decision, configVersion());
         }
         mGuard.run("confirmation of input", () -> confirmInput(scheduler));
@@ -759,6 +863,7 @@
         if (!mDirectory.takeChanged()) {
             return;
         }
+        observe(RolloutCoordinator::updateUpstreams);
         mSchedulers.forEach(this::replaceUpstreamsGuarded);
         mRetired.forEach((scheduler, service) -> replaceUpstreamsGuarded(service, scheduler));
     }
@@ -819,6 +924,10 @@
                 mRetries.computeIfAbsent(
                         service.name(), name -> new FleetRetryBudget(mSettings.retries()));
         WorkScheduler scheduler = mFactory.create(service, retries, mLimits);
+        RolloutCoordinator rollouts = mRollouts;
+        if (rollouts != null) {
+            scheduler.versionGate(rollouts);
+        }
         replaceUpstreams(service.name(), scheduler);
         if (scheduler instanceof PeerLoadAware aware) {
             aware.updatePeers(mPeers);
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
@@ -162,6 +162,24 @@
                         .with("source", source));
     }
 
+    /**
+     * Logs a change in the phase of a version rollout.
+     *
+     * @param service the service
+     * @param version the new version
+     * @param phase the phase that begins
+     * @param evidence counts, failure rates and test statistics
+     */
+    public void rolloutPhase(String service, String version, String phase, String evidence) {
+        LOG.infov(
+                "rollout phase",
+                new Fields()
+                        .with("service", service)
+                        .with("version", version)
+                        .with("phase", phase)
+                        .with("evidence", evidence));
+    }
+
     /**
      * Logs the result of a query for cached prompt parts.
      *
