--- /dev/null
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/rollout/Verdict.java
@@ -0,0 +1,163 @@
+package org.gentianwalk.core.rollout;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Stream;
+
+/** The results of all tests on the evidence of all instances. */
+final class Verdict {
+    /** Increases of the failure rate that are tested. The least one has to be detected. */
+    private static final List<Double> INCREASES = List.of(0.02, 0.05, 0.1, 0.2, 0.4);
+
+    private static final List<EvidenceTest> SLOW =
+            List.of(new SlownessTest(2, true), new SlownessTest(2, false));
+    private static final List<EvidenceTest> FAILURES =
+            INCREASES.stream().<EvidenceTest>map(FailureTest::new).toList();
+
+    private static final List<EvidenceTest> TESTS =
+            Stream.concat(FAILURES.stream(), SLOW.stream()).toList();
+
+    /**
+     * Logarithm of the ratio from which the version is bad. It exceeds ln 200, the bound on wrongly
+     * rejected versions, because several tests are made.
+     */
+    static final double REJECT_FROM = 7;
+
+    /** A version with a ratio of this or more is not completed, though not yet rejected. */
+    static final double SUSPECT_FROM = 3;
+
+    /** A fault is excluded when its ratio is at most 1 to 200. */
+    private static final double EXCLUDED_AT = -Math.log(200);
+
+    /** Fewer failures, or times, than this never reject a version. */
+    private static final int MIN_OBSERVATIONS = 3;
+
+    /**
+     * Answers of the new version needed for moving, of which none fails in 1 of 450 runs when 40%
+     * fail. More answers follow before completing.
+     */
+    private static final int ANSWERS_TO_MOVE = 12;
+
+    /** Answers needed for completing, of which none fails in 1 of 200 runs when 24% fail. */
+    private static final int ANSWERS_TO_COMPLETE = 20;
+
+    /** Answers needed on each route, or a quarter of its attempts when it has few of them. */
+    private static final int ANSWERS_PER_ROUTE = 4;
+
+    private final EvidenceTable mTotal;
+    private double mWorst = Double.NEGATIVE_INFINITY;
+    private String mWorstTest = "none";
+
+    /**
+     * Tests the evidence.
+     *
+     * @param total observations of all instances
+     * @param windows the same, without the new version's observations before some earlier times, in
+     *     which a version that turns bad shows sooner
+     */
+    Verdict(EvidenceTable total, List<EvidenceTable> windows) {
+        mTotal = total;
+        apply(total, "");
+        for (EvidenceTable window : windows) {
+            apply(window, "late ");
+        }
+    }
+
+    private void apply(EvidenceTable table, String prefix) {
+        for (EvidenceTest test : TESTS) {
+            long observations = test.observations(table.sum(true));
+            if (observations < MIN_OBSERVATIONS) {
+                continue;
+            }
+            double sum = 0;
+            for (String route : table.routes()) {
+                VersionCounters current = table.counters(route, true);
+                double ratio = test.logRatio(mTotal.counters(route, false), current);
+                note(ratio, test.observations(current), prefix + test + " on " + route);
+                sum += ratio;
+            }
+            note(sum, observations, prefix + test + " on all routes");
+        }
+    }
+
+    private void note(double ratio, long observations, String name) {
+        if (observations >= MIN_OBSERVATIONS && ratio > mWorst) {
+            mWorst = ratio;
+            mWorstTest = name;
+        }
+    }
+
+    /** Returns whether the new version is bad. */
+    boolean isBad() {
+        return mWorst >= REJECT_FROM;
+    }
+
+    /** Returns whether a fault is likely, but not shown. */
+    boolean isSuspect() {
+        return mWorst >= SUSPECT_FROM;
+    }
+
+    /** Returns whether the evidence suffices for moving all traffic. */
+    boolean permitsMoving() {
+        return !isSuspect() && hasAnswers(ANSWERS_TO_MOVE);
+    }
+
+    /** Returns whether the evidence suffices for completing, though small faults are possible. */
+    boolean permitsCompleting() {
+        return !isSuspect() && hasAnswers(ANSWERS_TO_COMPLETE);
+    }
+
+    /** Returns whether all faults that have to be detected are excluded. */
+    boolean excludesAllFaults() {
+        return permitsCompleting()
+                && sum(FAILURES.getFirst()) <= EXCLUDED_AT
+                && SLOW.stream().allMatch(test -> sum(test) <= EXCLUDED_AT);
+    }
+
+    private boolean hasAnswers(int required) {
+        VersionCounters all = mTotal.sum(true);
+        if (all.answered() < required || all.timed() < required) {
+            return false;
+        }
+        for (String route : mTotal.routes()) {
+            VersionCounters current = mTotal.counters(route, true);
+            long started = mTotal.counters(route, false).started() + current.started();
+            if (current.answered() < Math.min(ANSWERS_PER_ROUTE, started / 4)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private double sum(EvidenceTest test) {
+        double sum = 0;
+        for (String route : mTotal.routes()) {
+            sum += test.logRatio(mTotal.counters(route, false), mTotal.counters(route, true));
+        }
+        return sum;
+    }
+
+    /** Returns counts, failure rates and the largest ratio. */
+    String explanation() {
+        VersionCounters old = mTotal.sum(false);
+        VersionCounters current = mTotal.sum(true);
+        return String.format(
+                Locale.ROOT,
+                "old: %d failed of %d (%.2f%%), new: %d failed of %d (%.2f%%), %d started, "
+                        + "log likelihood ratio %.2f (%s; rejected from %.1f)",
+                old.failed(),
+                old.answered(),
+                percent(old),
+                current.failed(),
+                current.answered(),
+                percent(current),
+                current.started(),
+                mWorst,
+                mWorstTest,
+                REJECT_FROM);
+    }
+
+    private static double percent(VersionCounters counters) {
+        return counters.answered() == 0 ? 0 : 100.0 * counters.failed() / counters.answered();
+    }
+}
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/rollout/VersionCounters.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/rollout/VersionCounters.java
@@ -9,10 +9,12 @@
  * @param started attempts that were started
  * @param answered attempts that ended with an answer or a failure of the upstream
  * @param failed attempts that ended with a failure of the upstream
- * @param timed answers whose times are part of the sums
+ * @param timed times to the first output that are part of the sums; running attempts count as soon
+ *     as theirs is known
  * @param sumLogFirst sum of the natural logarithms of the times to the first output, milliseconds
  * @param sumSquaredLogFirst sum of the squares of these logarithms
- * @param sumLogTotal sum of the natural logarithms of the whole durations, milliseconds
+ * @param sumLogTotal sum of the natural logarithms of the whole durations of the successes,
+ *     milliseconds; their number is that of the answers less the failures
  * @param sumSquaredLogTotal sum of the squares of these logarithms
  */
 public record VersionCounters(
