--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -204,7 +204,6 @@
                                 mSettings.upstreamChange(), STORE_TIMEOUT, UPSTREAM_PAUSE)));
         RolloutFormat format = mRowFormat.rollouts();
         if (rollouts != null && format != null) {
-            rollouts.ownKey(fleet.ownKey());
             mWatchers.add(
                     createWatcher(
                             store,
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/RolloutCoordinator.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/RolloutCoordinator.java
@@ -77,11 +77,11 @@
     /** Minimum interval between two load notices that are sent for the sake of counters. */
     private static final long REPORT_NANOS = Duration.ofMillis(250).toNanos();
 
-    /**
-     * Time for which evidence that was read from the store is held back. The instances that
-     * observed it may still be alive, and then report it themselves.
-     */
-    private static final long RESTORE_NANOS = Duration.ofSeconds(2).toNanos();
+    /** Time in which an instance that has just started gets to know the others. */
+    private static final long START_NANOS = Duration.ofSeconds(2).toNanos();
+
+    /** Time for which a rollback is reported, for instances that can't reach the store. */
+    private static final long FINAL_REPORT_NANOS = Duration.ofSeconds(60).toNanos();
 
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(1_500);
     private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -101,14 +101,10 @@
     private final RolloutAttempts mAttempts = new RolloutAttempts();
     private final Map<String, ServiceRollout> mServices = new HashMap<>();
 
-    /** Evidence that was read and is not used yet. */
-    private final Map<RolloutPlan, KeptRollout> mHeldBack = new HashMap<>();
-
     /** The newest reports of other instances, by service. */
     private final Map<String, Map<String, RolloutReport>> mReports = new HashMap<>();
 
     private PeerView mPeers = PeerView.ALONE;
-    private String mOwnKey;
     private boolean mStoreReachable = true;
     private long mChanges;
     private long mChangedAt;
@@ -141,7 +137,6 @@
             GatewayLog log,
             FailureGuard guard) {
         mInstance = instance;
-        mOwnKey = instance;
         mLimits = limits;
         mFormat = format;
         mStore = store;
@@ -154,11 +149,6 @@
         mCreatedAt = ticker.nanos();
     }
 
-    /** Sets the name by which the others know this instance, with its incarnation. */
-    void ownKey(String key) {
-        mOwnKey = key;
-    }
-
     // Rows of the store.
 
     /** Applies the complete table of orders; an order that it lacks was withdrawn. */
@@ -275,10 +265,12 @@
         }
         RolloutPhase phase =
                 state == State.COMPLETED ? RolloutPhase.COMPLETED : RolloutPhase.ROLLED_BACK;
-        if (plan.phase() != phase) {
-            plan.follow(phase);
-            mChanges++;
+        if (plan.phase().isFinal()) {
+            return;
         }
+        plan.follow(phase);
+        service.mFinalAt = mTicker.nanos();
+        mChanges++;
         if (phase == RolloutPhase.COMPLETED) {
             service.inForce(plan.order().version());
         }
@@ -325,7 +317,7 @@
         long started = now - age * NANOS_PER_MILLI;
         // An instance that was restarted may have used its part of the slack before, and one that
         // has just started does not know the others that share it.
-        boolean hasSlack = started - mCreatedAt >= RESTORE_NANOS;
+        boolean hasSlack = started - mCreatedAt >= START_NANOS;
         ExposureLimits limits =
                 !hasSlack
                         ? new ExposureLimits(mLimits.share(), 0, mLimits.rollbackNanos())
@@ -347,14 +339,13 @@
                 service.inForce(kept.getInForce());
             }
             if (started - mCreatedAt < 0) {
-                mHeldBack.put(plan, kept);
+                RolloutCodec.decode(List.of(kept.getEvidence())).forEach(plan::restore);
             }
         }
         mReports.getOrDefault(service.mService, Map.of())
                 .forEach((instance, report) -> plan.mergePeer(instance, report, now));
         service.mPlan = plan;
-        service.mLoggedPhase = RolloutPhase.OBSERVING;
-        mLog.rolloutPhase(service.mService, order.version(), "observing", "the order was read");
+        service.mLoggedPhase = "";
         mChanges++;
         updateUpstreams(service);
         follow(service);
@@ -482,7 +473,11 @@
         for (ServiceRollout service : mServices.values()) {
             RolloutPlan plan = service.mPlan;
             // After a completion all instances follow the row.
-            if (plan != null && plan.phase() != RolloutPhase.COMPLETED && service.mOrder != null) {
+            if (plan == null || plan.phase() == RolloutPhase.COMPLETED) {
+                continue;
+            }
+            boolean isFinal = plan.phase().isFinal();
+            if (!isFinal || mTicker.nanos() - service.mFinalAt < FINAL_REPORT_NANOS) {
                 reports.add(plan.report());
             }
         }
@@ -522,7 +517,6 @@
         }
         RolloutPhase phase = plan.phase();
         boolean rejected = plan.isRejected();
-        restoreKept(plan, now);
         if (service.mOrder == null) {
             plan.withdraw();
         }
@@ -539,26 +533,14 @@
     }
 
     private void logPhase(ServiceRollout service, RolloutPlan plan) {
-        if (plan.phase() != service.mLoggedPhase) {
-            service.mLoggedPhase = plan.phase();
-            mLog.rolloutPhase(
-                    service.mService,
-                    plan.order().version(),
-                    plan.phase().name().toLowerCase(Locale.ROOT),
-                    plan.explanation());
-        }
-    }
-
-    /** Uses evidence from the store once it is clear that nobody reports it any more. */
-    private void restoreKept(RolloutPlan plan, long now) {
-        KeptRollout kept = mHeldBack.get(plan);
-        if (kept == null || now - mCreatedAt < RESTORE_NANOS) {
-            return;
+        String phase = plan.phase().name().toLowerCase(Locale.ROOT);
+        if (plan.isRejected() && !plan.phase().isFinal()) {
+            phase = "rejected";
         }
-        mHeldBack.remove(plan);
-        boolean alive = kept.getInstancesList().stream().anyMatch(mPeers.peers()::contains);
-        if (!alive) {
-            RolloutCodec.decode(List.of(kept.getEvidence())).forEach(plan::restore);
+        if (!phase.equals(service.mLoggedPhase)) {
+            service.mLoggedPhase = phase;
+            mLog.rolloutPhase(
+                    service.mService, plan.order().version(), phase, plan.explanation());
         }
     }
 
@@ -566,7 +548,7 @@
         if (plan.phase() == RolloutPhase.COMPLETED) {
             return State.COMPLETED;
         }
-        if (plan.phase() == RolloutPhase.ROLLED_BACK || plan.isRejected()) {
+        if (plan.isRejected()) {
             return State.ROLLED_BACK;
         }
         boolean inTime = now - plan.order().deadlineNanos() < 0;
@@ -658,7 +640,7 @@
     }
 
     /** Returns the position of this instance in the rendezvous order, or -1 if it is far behind. */
-    private int rank(String service) {
+    int rank(String service) {
         Set<String> instances = new HashSet<>();
         instances.add(mInstance);
         for (String peer : mPeers.peers()) {
@@ -678,7 +660,7 @@
         }
         long interval = rank == 0 ? KEEP_NANOS : SECOND_KEEP_NANOS;
         boolean first = rank == 0 && !service.mKeptWritten;
-        if (!first && now - service.mKeptAt < interval || mHeldBack.containsKey(plan)) {
+        if (!first && now - service.mKeptAt < interval) {
             return;
         }
         service.mKeptAt = now;
@@ -689,8 +671,6 @@
                         .setStartedAtMs(Math.max(0, mUnixMillis.getAsLong() - age))
                         .setInForce(service.inForce())
                         .setEvidence(RolloutCodec.encode(plan.evidenceToKeep()))
-                        .addInstances(mOwnKey)
-                        .addAllInstances(mPeers.peers())
                         .build()
                         .toByteArray();
         CompletionStage<WriteResult> write =
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ServiceRollout.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ServiceRollout.java
@@ -33,7 +33,11 @@
     /** The plan of the last order; null until what was kept of it has been read. */
     @Nullable RolloutPlan mPlan;
 
-    RolloutPhase mLoggedPhase = RolloutPhase.OBSERVING;
+    /** The phase that was logged last; empty at first. */
+    String mLoggedPhase = "";
+
+    /** Time at which the final state was read. */
+    long mFinalAt;
 
     /** The status row, or null when there is none that can be read. */
     @Nullable Status mStatus;
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/FleetLink.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/FleetLink.java
@@ -163,15 +163,6 @@
         return mInstances;
     }
 
-    /**
-     * Returns the name by which the load notices of this instance are known.
-     *
-     * @return the instance and its incarnation
-     */
-    public String ownKey() {
-        return LoadExchange.peerKey(mSelf.id(), mSelf.incarnation());
-    }
-
     /**
      * Registers this instance again after a random delay, since the store came back from a copy
      * that may lack its row, or has it although the instance is leaving.
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadExchange.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/fleet/LoadExchange.java
@@ -182,7 +182,7 @@
         mMesh.send(MeshPeer.of(member), MessageType.LOAD_NOTICE, notice);
     }
 
-    static String peerKey(String instance, long incarnation) {
+    private static String peerKey(String instance, long incarnation) {
         return instance + "@" + incarnation;
     }
 }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/MemoryStore.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/MemoryStore.java
@@ -116,8 +116,14 @@
     public final class Client implements RowStore {
         private volatile boolean mSilent;
         private volatile boolean mRejecting;
+        private volatile boolean mLosing;
         private volatile int mWrites;
 
+        /** Sets whether conditional writes of this instance take effect without a response. */
+        public void losing(boolean losing) {
+            mLosing = losing;
+        }
+
         /** Sets whether the store leaves the calls of this instance without a response. */
         public void silent(boolean silent) {
             mSilent = silent;
@@ -190,6 +196,28 @@
             }
         }
 
+        @Override
+        public CompletionStage<WriteResult> writeIf(
+                String table, String key, byte[] value, long expected, Duration timeout) {
+            synchronized (MemoryStore.this) {
+                mWrites++;
+                if (mRejecting || mSilent) {
+                    return CompletableFuture.completedFuture(new WriteResult.Unknown("no response"));
+                }
+                Row current = mTables.getOrDefault(table, new TreeMap<>()).get(key);
+                boolean exists = current != null && !current.removed();
+                if ((exists ? current.version() : 0) != expected) {
+                    return CompletableFuture.completedFuture(
+                            new WriteResult.Conflict(exists ? current : null));
+                }
+                put(table, key, value);
+                return CompletableFuture.completedFuture(
+                        mLosing
+                                ? new WriteResult.Unknown("no response in time")
+                                : new WriteResult.Written(mVersion));
+            }
+        }
+
         private CompletionStage<Result> rejected() {
             return CompletableFuture.completedFuture(new Result.Failed("status 503", true));
         }
