--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -453,8 +453,7 @@
                     if (load != null) {
                         request.scheduler().recordLoad(work, load, mTicker.nanos());
                     }
-                    observe(
-                            rollouts -> rollouts.recordEnd(work, attempt, AttemptEnd.SUCCEEDED));
+                    observe(rollouts -> rollouts.recordEnd(work, attempt, AttemptEnd.SUCCEEDED));
                     request.scheduler()
                             .recordAttemptEnd(work, attempt, AttemptEnd.SUCCEEDED, mTicker.nanos());
                     mLog.responseDelivered(request.work(), attempt, delivery, mTicker.nanos());
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/RolloutAttempts.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/RolloutAttempts.java
@@ -56,9 +56,7 @@
         // A resumed stream has a part of its output already.
         boolean comparable = !work.kind().isStream() || attempt == 1 && work.eventsSeen() == 0;
         mRunning.computeIfAbsent(work.id(), id -> new HashMap<>())
-                .put(
-                        attempt,
-                        new Running(work, upstream, plan, newVersion, comparable, nowNanos));
+                .put(attempt, new Running(work, upstream, plan, newVersion, comparable, nowNanos));
     }
 
     /** Returns whether a request has had an attempt. */
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/RolloutCoordinator.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/RolloutCoordinator.java
@@ -397,8 +397,7 @@
     @Override
     public boolean isPermitted(Work work, Upstream upstream, long nowNanos) {
         return service(work.service())
-                .isPermitted(
-                        work.route(), upstream, mAttempts.hasStarted(work.id()), nowNanos);
+                .isPermitted(work.route(), upstream, mAttempts.hasStarted(work.id()), nowNanos);
     }
 
     @Override
@@ -407,8 +406,7 @@
         RolloutPlan plan = service.mPlan;
         if (plan == null
                 || plan.phase().isFinal()
-                || !plan.mayStart(
-                        work.route(), true, mAttempts.hasStarted(work.id()), nowNanos)) {
+                || !plan.mayStart(work.route(), true, mAttempts.hasStarted(work.id()), nowNanos)) {
             return this;
         }
         boolean observing = plan.phase() == RolloutPhase.OBSERVING;
@@ -539,8 +537,7 @@
         }
         if (!phase.equals(service.mLoggedPhase)) {
             service.mLoggedPhase = phase;
-            mLog.rolloutPhase(
-                    service.mService, plan.order().version(), phase, plan.explanation());
+            mLog.rolloutPhase(service.mService, plan.order().version(), phase, plan.explanation());
         }
     }
 
@@ -681,8 +678,7 @@
                     service.mKeptCall = false;
                     if (failure == null && result instanceof WriteResult.Written written) {
                         service.mKeptVersion = written.version();
-                    } else if (failure == null
-                            && result instanceof WriteResult.Conflict conflict) {
+                    } else if (failure == null && result instanceof WriteResult.Conflict conflict) {
                         Row current = conflict.current();
                         service.mKeptVersion =
                                 current == null || current.removed() ? 0 : current.version();
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ServiceRollout.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ServiceRollout.java
@@ -9,7 +9,6 @@
 import org.gentianwalk.core.dispatch.Upstream;
 import org.gentianwalk.core.hash.KeyHash;
 import org.gentianwalk.core.rollout.RolloutOrder;
-import org.gentianwalk.core.rollout.RolloutPhase;
 import org.gentianwalk.core.rollout.RolloutPlan;
 import org.gentianwalk.gateway.store.RolloutFormat.Order;
 import org.gentianwalk.gateway.store.RolloutFormat.State;
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/MemoryStore.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/MemoryStore.java
@@ -202,7 +202,8 @@
             synchronized (MemoryStore.this) {
                 mWrites++;
                 if (mRejecting || mSilent) {
-                    return CompletableFuture.completedFuture(new WriteResult.Unknown("no response"));
+                    return CompletableFuture.completedFuture(
+                            new WriteResult.Unknown("no response"));
                 }
                 Row current = mTables.getOrDefault(table, new TreeMap<>()).get(key);
                 boolean exists = current != null && !current.removed();
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/control/RolloutCoordinatorTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/control/RolloutCoordinatorTest.java
@@ -49,16 +49,18 @@
     /** A store that is down must neither end the rollout early nor complete it late. */
     @ParameterizedTest
     @CsvSource({
-        "0, 2, COMPLETED v2",
-        "2, 5, COMPLETED v2",
-        "8, 3, COMPLETED v2",
-        "6, 8, ROLLED_BACK v2",
-        "9, 8, ROLLED_BACK v2"
+        "0, false, 2, COMPLETED v2",
+        "2, false, 5, COMPLETED v2",
+        "6, false, 8, ROLLED_BACK v2",
+        "6, true, 2, COMPLETED v2",
+        "6, true, 8, ROLLED_BACK v2"
     })
-    void theStoreIsDownForAPartOfTheRollout(int from, int seconds, String end) {
+    void theStoreIsDownForAPartOfTheRollout(int from, boolean moving, int seconds, String end) {
         mFleet.mErrorRate = 0.02;
         mFleet.order(ORDER);
         mFleet.run(Duration.ofSeconds(from).plus(RolloutFleet.STEP));
+        mFleet.runWhile(LIMIT, fleet -> moving && !fleet.isMoving());
+        assertThat(mFleet.state()).as("state before the outage").isIn("", "RUNNING v2");
         mFleet.mInstances.values().forEach(each -> each.disconnect(true));
         mFleet.run(Duration.ofSeconds(seconds));
         mFleet.mInstances.values().forEach(each -> each.disconnect(false));
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/control/RolloutFleet.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/control/RolloutFleet.java
@@ -81,6 +81,19 @@
         mStore.put("status", KEY, value.getBytes(StandardCharsets.UTF_8));
     }
 
+    boolean isMoving() {
+        return mInstances.values().stream()
+                .anyMatch(
+                        each ->
+                                each.mRollouts
+                                        .metrics()
+                                        .lines()
+                                        .anyMatch(
+                                                line ->
+                                                        line.contains("_phase")
+                                                                && line.endsWith(" 1")));
+    }
+
     void retireOld() {
         mUpstreams.removeIf(upstream -> upstream.version().equals("v1"));
     }
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/settings/SettingsReaderTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/settings/SettingsReaderTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import java.io.IOException;
 import java.net.URISyntaxException;
 import java.nio.file.Path;
@@ -10,6 +12,7 @@
 import java.util.Map;
 import java.util.Objects;
 import org.gentianwalk.core.model.Location.Distance;
+import org.gentianwalk.core.rollout.ExposureLimits;
 import org.gentianwalk.gateway.GatewaySettings;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -68,6 +71,23 @@
                 .hasMessageContaining("must be a number");
     }
 
+    /** Bounds that are ignored, or misread, would expose callers to a bad version. */
+    @Test
+    void theBoundsOfRolloutsAreOptional() throws Exception {
+        SettingsReader reader = new SettingsReader(Map.of());
+        ObjectNode file = (ObjectNode) new YAMLMapper().readTree(file("whole").toFile());
+        assertThat(reader.read(file).exposure()).isNull();
+
+        file.put("exposure_share", 0.1).put("exposure_slack", 50).put("rollback_ms", 4_000);
+        assertThat(reader.read(file).exposure())
+                .isEqualTo(new ExposureLimits(0.1, 50, Duration.ofSeconds(4).toNanos()));
+
+        file.put("exposure_share", 1.5);
+        assertThatThrownBy(() -> reader.read(file))
+                .isInstanceOf(SettingsException.class)
+                .hasMessageContaining("key exposure_share must be a number from 0.0 to 1.0");
+    }
+
     @Test
     void aSecretIsNotPrinted() throws Exception {
         assertThat(read("whole").toString()).doesNotContain("a-secret-of-many-letters");
