Follow the move of another instance; test more slowly on few times

Cause: one instance that did not move kept all others from completing, and the tests on few times rejected good versions. Change: an instance moves after another one; its reports tell whether it may start old attempts.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/rollout/RolloutPlan.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/rollout/RolloutPlan.java
@@ -283,18 +283,16 @@
     }
 
     /**
-     * Returns what this instance has observed. While it may still start attempts at old upstreams,
-     * it reports at least one as running, so that no other instance completes.
+     * Returns what this instance has observed. Until it moves, it reports {@link
+     * RolloutReport#MAY_START_OLD} further old attempts, so that no other instance completes.
      *
      * @return the report for the other instances
      */
     public RolloutReport report() {
-        return report(
-                mAllowance.requests(),
-                mPhase == RolloutPhase.COMPLETED || (mPhase == RolloutPhase.MOVING && !mRejected)
-                        ? mOldAttempts
-                        : Math.max(1, mOldAttempts),
-                mOwn);
+        boolean moved =
+                mPhase == RolloutPhase.COMPLETED || (mPhase == RolloutPhase.MOVING && !mRejected);
+        int running = moved ? mOldAttempts : mOldAttempts + RolloutReport.MAY_START_OLD;
+        return report(mAllowance.requests(), running, mOwn);
     }
 
     private RolloutReport report(long requests, int running, EvidenceTable table) {
@@ -331,14 +329,19 @@
             reject("the time limit has passed in phase " + mPhase);
             return;
         }
-        double elapsed = elapsed(nowNanos);
         if (mPhase == RolloutPhase.OBSERVING
                 && mStoreReachable
-                && elapsed >= MOVE_FROM
-                && elapsed < MOVE_UNTIL
-                && mVerdict.permitsMoving()) {
+                && elapsed(nowNanos) >= MOVE_FROM) {
+            move(elapsed(nowNanos));
+        }
+    }
+
+    /** Moves when the evidence suffices, or after another instance, whose evidence sufficed. */
+    private void move(double elapsed) {
+        boolean follows = mPeers.values().stream().anyMatch(peer -> peer.report().hasMoved());
+        if (follows || (elapsed < MOVE_UNTIL && mVerdict.permitsMoving())) {
             mPhase = RolloutPhase.MOVING;
-            mReason = "no fault was found";
+            mReason = follows ? "another instance moves" : "no fault was found";
             openWindow();
         }
     }
@@ -486,7 +489,7 @@
         for (Peer peer : mPeers.values()) {
             requests += peer.report().requests();
         }
-        return report(requests, 0, mTotal);
+        return report(requests, RolloutReport.MAY_START_OLD, mTotal);
     }
 
     /**
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/rollout/Verdict.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/rollout/Verdict.java
@@ -21,7 +21,7 @@
      * Logarithm of the ratio from which the version is bad. It exceeds ln 200, the bound on wrongly
      * rejected versions, because several tests are made.
      */
-    static final double REJECT_FROM = 7;
+    static final double REJECT_FROM = 8;
 
     /** A version with a ratio of this or more is not completed, though not yet rejected. */
     static final double SUSPECT_FROM = 3;
