--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/rollout/RolloutPlan.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/rollout/RolloutPlan.java
@@ -31,8 +31,8 @@
     private static final double MOVE_STREAMS_PART = 0.28;
 
     /**
-     * Part of the time limit from which a rollout completes. Until then, evidence is gathered, since
-     * completing can't be undone; the rest is for the write of the status.
+     * Part of the time limit from which a rollout completes. Until then, evidence is gathered,
+     * since completing can't be undone; the rest is for the write of the status.
      */
     private static final double COMPLETE_FROM = 0.85;
 
@@ -70,7 +70,7 @@
     public RolloutPlan(RolloutOrder order, ExposureLimits limits) {
         mOrder = order;
         mAllowance = new ExposureAllowance(order, limits);
-        mVerdict = new Verdict(mTotal, mWindows);
+        mVerdict = new Verdict(mTotal, mWindows, mTotal);
     }
 
     /** The newest report of another instance, and how much of it the kept evidence contains. */
@@ -326,7 +326,8 @@
         if (mWindows.isEmpty() && elapsed(nowNanos) >= WINDOW_FROM) {
             openWindow();
         }
-        mVerdict = new Verdict(mTotal, lateEvidence());
+        EvidenceTable concurrent = mPhase == RolloutPhase.MOVING ? mWindows.getLast() : mTotal;
+        mVerdict = new Verdict(mTotal, lateEvidence(), concurrent);
         if (mVerdict.isBad()) {
             reject("the new version is bad");
             return;
@@ -335,9 +336,7 @@
             reject("the time limit has passed in phase " + mPhase);
             return;
         }
-        if (mPhase == RolloutPhase.OBSERVING
-                && mStoreReachable
-                && elapsed(nowNanos) >= MOVE_FROM) {
+        if (mPhase == RolloutPhase.OBSERVING && mStoreReachable && elapsed(nowNanos) >= MOVE_FROM) {
             move(elapsed(nowNanos));
         }
     }
@@ -352,14 +351,10 @@
         }
     }
 
-    /** Starts a window of evidence by noting what the new version had before. */
+    /** Starts a window of evidence by noting what was observed before. */
     private void openWindow() {
         var before = new EvidenceTable();
-        for (VersionCounters each : mTotal.counters()) {
-            if (each.newVersion()) {
-                before.add(List.of(each), 1);
-            }
-        }
+        before.add(mTotal.counters(), 1);
         mWindows.add(before);
     }
 
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/rollout/Verdict.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/rollout/Verdict.java
@@ -9,7 +9,7 @@
     /** Increases of the failure rate that are tested. The least one has to be detected. */
     private static final List<Double> INCREASES = List.of(0.02, 0.05, 0.1, 0.2, 0.4);
 
-    private static final EvidenceTest OVERDUE = new FailureTest(0.2);
+    private static final EvidenceTest OVERDUE = new FailureTest(0.4);
     private static final List<EvidenceTest> SLOW =
             List.of(new SlownessTest(2, true), new SlownessTest(2, false));
     private static final List<EvidenceTest> FAILURES =
@@ -25,7 +25,12 @@
     static final double REJECT_FROM = 8;
 
     /** A version with a ratio of this or more is not completed, though not yet rejected. */
-    static final double SUSPECT_FROM = 4;
+    private static final double SUSPECT_FROM = 4;
+
+    /** The same for failures where the old version fails rarely, so that few occur by chance. */
+    private static final double SUSPECT_FAILURES_FROM = 2.5;
+
+    private static final double RARE = 0.02;
 
     /** Fewer failures, or times, than this never reject a version. */
     private static final int MIN_OBSERVATIONS = 3;
@@ -43,8 +48,11 @@
     private static final int ANSWERS_PER_ROUTE = 4;
 
     private final EvidenceTable mTotal;
+    private final EvidenceTable mConcurrent;
     private double mWorst = Double.NEGATIVE_INFINITY;
     private String mWorstTest = "none";
+    private boolean mSuspect;
+    private final double mSuspectFailuresFrom;
 
     /**
      * Tests the evidence.
@@ -52,9 +60,14 @@
      * @param total observations of all instances
      * @param windows the same, without the new version's observations before some earlier times, in
      *     which a version that turns bad shows sooner
+     * @param concurrent observations up to the last time at which both versions got attempts
      */
-    Verdict(EvidenceTable total, List<EvidenceTable> windows) {
+    Verdict(EvidenceTable total, List<EvidenceTable> windows, EvidenceTable concurrent) {
         mTotal = total;
+        mConcurrent = concurrent;
+        VersionCounters old = total.sum(false);
+        boolean rare = old.failed() < RARE * old.answered();
+        mSuspectFailuresFrom = rare ? SUSPECT_FAILURES_FROM : SUSPECT_FROM;
         apply(total, "");
         for (EvidenceTable window : windows) {
             apply(window, "late ");
@@ -71,15 +84,19 @@
             for (String route : table.routes()) {
                 VersionCounters current = table.counters(route, true);
                 double ratio = test.logRatio(mTotal.counters(route, false), current);
-                note(ratio, test.observations(current), prefix + test + " on " + route);
+                note(test, ratio, test.observations(current), prefix + test + " on " + route);
                 sum += ratio;
             }
-            note(sum, observations, prefix + test + " on all routes");
+            note(test, sum, observations, prefix + test + " on all routes");
         }
     }
 
-    private void note(double ratio, long observations, String name) {
-        if (observations >= MIN_OBSERVATIONS && ratio > mWorst) {
+    private void note(EvidenceTest test, double ratio, long observations, String name) {
+        if (observations < MIN_OBSERVATIONS) {
+            return;
+        }
+        mSuspect |= ratio >= (FAILURES.contains(test) ? mSuspectFailuresFrom : SUSPECT_FROM);
+        if (ratio > mWorst) {
             mWorst = ratio;
             mWorstTest = name;
         }
@@ -92,7 +109,7 @@
 
     /** Returns whether a fault is likely, but not shown. */
     boolean isSuspect() {
-        return mWorst >= SUSPECT_FROM;
+        return mSuspect;
     }
 
     /** Returns whether the evidence suffices for moving all traffic. */
@@ -102,7 +119,7 @@
 
     /** Returns whether the evidence suffices for completing, though small faults are possible. */
     boolean permitsCompleting() {
-        return !isSuspect() && hasAnswers(ANSWERS_TO_COMPLETE);
+        return !isSuspect() && !isOverdue() && hasAnswers(ANSWERS_TO_COMPLETE);
     }
 
     private boolean hasAnswers(int required) {
@@ -122,16 +139,16 @@
 
     /**
      * Returns whether too many attempts on the new version have no output yet. The times that are
-     * known are then those of the fast attempts, and hide a slow version. Only valid while both
-     * versions get attempts.
+     * known are then those of the fast attempts, and hide a slow version. The old version is
+     * counted while it still got attempts.
      */
     private boolean isOverdue() {
-        return OVERDUE.logRatio(overdue(false), overdue(true)) >= SUSPECT_FROM;
+        return OVERDUE.logRatio(overdue(mConcurrent, false), overdue(mTotal, true)) >= SUSPECT_FROM;
     }
 
     /** Returns the attempts of a version, where those without an output count as failed. */
-    private VersionCounters overdue(boolean newVersion) {
-        VersionCounters all = mTotal.sum(newVersion);
+    private static VersionCounters overdue(EvidenceTable table, boolean newVersion) {
+        VersionCounters all = table.sum(newVersion);
         long missing = Math.clamp(all.started() - all.timed() - all.failed(), 0, all.started());
         return new VersionCounters("*", newVersion, 0, all.started(), missing, 0, 0, 0, 0, 0);
     }
