--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/rollout/RolloutPlan.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/rollout/RolloutPlan.java
@@ -14,10 +14,11 @@
  */
 public final class RolloutPlan {
     /**
-     * Parts of the time limit from which traffic moves. Observing lasts until 60%, since some
-     * versions turn bad later; what hasn't moved by 85% can't end in time.
+     * Parts of the time limit from which traffic moves. 60% at least is observed, since some
+     * versions turn bad later; 70% leaves 12 s of streams the time to be moved and reported. What
+     * hasn't moved by 85% can't end in time.
      */
-    private static final double MOVE_FROM = 0.6;
+    private static final double MOVE_FROM = 0.7;
 
     private static final double MOVE_UNTIL = 0.85;
 
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/rollout/Verdict.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/rollout/Verdict.java
@@ -9,7 +9,11 @@
     /** Increases of the failure rate that are tested. The least one has to be detected. */
     private static final List<Double> INCREASES = List.of(0.02, 0.05, 0.1, 0.2, 0.4);
 
-    private static final EvidenceTest OVERDUE = new FailureTest(0.4);
+    private static final EvidenceTest OVERDUE = new FailureTest(0.2);
+
+    /** While all traffic is new, a larger part of the attempts has just started. */
+    private static final EvidenceTest OVERDUE_WHILE_MOVING = new FailureTest(0.4);
+
     private static final List<EvidenceTest> SLOW =
             List.of(new SlownessTest(2, true), new SlownessTest(2, false));
     private static final List<EvidenceTest> FAILURES =
@@ -114,12 +118,12 @@
 
     /** Returns whether the evidence suffices for moving all traffic. */
     boolean permitsMoving() {
-        return !isSuspect() && !isOverdue() && hasAnswers(ANSWERS_TO_MOVE);
+        return !isSuspect() && !isOverdue(OVERDUE) && hasAnswers(ANSWERS_TO_MOVE);
     }
 
     /** Returns whether the evidence suffices for completing, though small faults are possible. */
     boolean permitsCompleting() {
-        return !isSuspect() && !isOverdue() && hasAnswers(ANSWERS_TO_COMPLETE);
+        return !isSuspect() && !isOverdue(OVERDUE_WHILE_MOVING) && hasAnswers(ANSWERS_TO_COMPLETE);
     }
 
     private boolean hasAnswers(int required) {
@@ -142,8 +146,8 @@
      * known are then those of the fast attempts, and hide a slow version. The old version is
      * counted while it still got attempts.
      */
-    private boolean isOverdue() {
-        return OVERDUE.logRatio(overdue(mConcurrent, false), overdue(mTotal, true)) >= SUSPECT_FROM;
+    private boolean isOverdue(EvidenceTest test) {
+        return test.logRatio(overdue(mConcurrent, false), overdue(mTotal, true)) >= SUSPECT_FROM;
     }
 
     /** Returns the attempts of a version, where those without an output count as failed. */
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/rollout/RolloutPlanTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/rollout/RolloutPlanTest.java
@@ -101,7 +101,7 @@
     void completingWaitsForOldAttemptsAndReportsOfAllInstances() {
         mPlan.updatePeers(new PeerView(Set.of("i1"), 0));
         observeGood(mPlan, 100 * SECOND);
-        mPlan.advance(108 * SECOND);
+        mPlan.advance(109 * SECOND);
         assertThat(mPlan.phase()).isEqualTo(RolloutPhase.MOVING);
         long now = 111 * SECOND;
         mPlan.advance(now);
@@ -128,7 +128,7 @@
     void observingDoesNotEndWhileTheStoreIsDown() {
         observeGood(mPlan, 100 * SECOND);
         mPlan.updateStore(false);
-        mPlan.advance(108 * SECOND);
+        mPlan.advance(109 * SECOND);
         assertThat(mPlan.phase()).isEqualTo(RolloutPhase.OBSERVING);
 
         mPlan.updateStore(true);
