--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTargets.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTargets.java
@@ -35,6 +35,7 @@
     private final CallDuration mDuration = new CallDuration();
     private final CallFaults mFaults;
     private final PlacementPolicy mPlacement;
+    private VersionGate mGate = VersionGate.OPEN;
     private @Nullable Long mStopsAt;
 
     CallTargets(
@@ -86,6 +87,11 @@
         mUnlisted.keySet().removeAll(mTargets.keySet());
     }
 
+    /** Sets which versions of upstreams may get a call. */
+    void versionGate(VersionGate gate) {
+        mGate = gate;
+    }
+
     /** Sets the time at which the instance stops. */
     void stopAt(long nanos) {
         mStopsAt = nanos;
@@ -150,6 +156,15 @@
 
     private @Nullable CallTarget choose(
             CallRun call, Predicate<CallTarget> isEligible, long nowNanos) {
+        VersionGate preferred = mGate.preferred(call.work(), nowNanos);
+        CallTarget target = choose(call, isEligible, preferred, nowNanos);
+        return target != null || preferred == mGate
+                ? target
+                : choose(call, isEligible, mGate, nowNanos);
+    }
+
+    private @Nullable CallTarget choose(
+            CallRun call, Predicate<CallTarget> isEligible, VersionGate gate, long nowNanos) {
         List<CallTarget> eligible = new ArrayList<>();
         List<Candidate> candidates = new ArrayList<>();
         Map<CallTarget, Double> faultCosts =
@@ -157,6 +172,7 @@
         for (CallTarget target : mTargets.values()) {
             if (target.isUsable()
                     && isEligible.test(target)
+                    && gate.isPermitted(call.work(), target.upstream(), nowNanos)
                     && mLimits.isPermitted(target.upstream(), nowNanos)) {
                 eligible.add(target);
                 candidates.add(candidate(target, call, faultCosts, nowNanos));
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/GatewaySettings.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/GatewaySettings.java
@@ -6,6 +6,7 @@
 import org.gentianwalk.core.dispatch.LocationMap;
 import org.gentianwalk.core.dispatch.PlacementPolicy;
 import org.gentianwalk.core.dispatch.RetryBounds;
+import org.gentianwalk.core.rollout.ExposureLimits;
 import org.gentianwalk.server.mesh.MeshKey;
 import org.jspecify.annotations.Nullable;
 
@@ -26,6 +27,7 @@
  * @param logLevel minimum level of the lines that are logged
  * @param ordersByTarget whether waiting generations of every service are ordered by their targets
  * @param placement how the upstreams of requests are selected
+ * @param exposure bounds of version rollouts, or null when rollouts are not handled
  */
 public record GatewaySettings(
         String name,
@@ -41,9 +43,11 @@
         Duration stopGrace,
         String logLevel,
         boolean ordersByTarget,
-        PlacementPolicy.Kind placement) {
+        PlacementPolicy.Kind placement,
+        @Nullable ExposureLimits exposure) {
     /**
-     * Creates settings with the default order of waiting generations and placement policy.
+     * Creates settings with the default order of waiting generations and placement policy, of an
+     * instance that does not handle version rollouts.
      *
      * @param name its name, unique in the fleet
      * @param locations its location, and the regions of all zones
@@ -85,7 +89,8 @@
                 stopGrace,
                 logLevel,
                 false,
-                PlacementPolicy.Kind.LOWEST_COST);
+                PlacementPolicy.Kind.LOWEST_COST,
+                null);
     }
 
     /**
