Move when the outputs of each route have begun

Cause: with 86 instances and 40 streams/s, 2 of 2 good versions were rolled back, since too few streams of each route had ended by 85% of the time limit. Change: moving counts first outputs per route, completing still counts answers.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/rollout/Verdict.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/rollout/Verdict.java
@@ -134,7 +134,9 @@
         for (String route : mTotal.routes()) {
             VersionCounters current = mTotal.counters(route, true);
             long started = mTotal.counters(route, false).started() + current.started();
-            if (current.answered() < Math.min(ANSWERS_PER_ROUTE, started / 4)) {
+            // Few streams of a route have ended by the time of moving, but their output has begun.
+            long known = required < ANSWERS_TO_COMPLETE ? current.timed() : current.answered();
+            if (known < Math.min(ANSWERS_PER_ROUTE, started / 4)) {
                 return false;
             }
         }
