Use upstreams of a version that no order is about

Upstreams are also replaced by those of another version without an order. The first version listed counted as the one in force for ever, so that the others would have got no request where rollouts are handled. A further version is now used 3 s after it was first listed, unless an order or a rolled-back status names it or a completed rollout has replaced it. RolloutCoordinatorTest fails without the change.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -487,7 +487,7 @@
         CallAttempt started = call.recordStart(target, nowNanos);
         target.recordStart(nowNanos);
         mLimits.recordSent(target.upstream(), nowNanos);
-        mGate.recordStart(call.work(), call.attempt(), target.upstream(), nowNanos);
+        mGate.recordStart(call.work(), started.number(), target.upstream(), nowNanos);
         mDecisions.add(
                 new Decision.Start(
                         call.work(),
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/RolloutCoordinator.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/RolloutCoordinator.java
@@ -272,7 +272,7 @@
         service.mFinalAt = mTicker.nanos();
         mChanges++;
         if (phase == RolloutPhase.COMPLETED) {
-            service.inForce(plan.order().version());
+            service.recordCompletion(plan.order().version());
         }
         updateUpstreams(service);
         logPhase(service, plan);
@@ -360,7 +360,8 @@
     }
 
     private void updateUpstreams(ServiceRollout service) {
-        service.updateUpstreams(mUpstreams.apply(service.mService), mLimits.share());
+        service.updateUpstreams(
+                mUpstreams.apply(service.mService), mLimits.share(), mTicker.nanos());
     }
 
     /** Records the arrival of a request. */
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ServiceRollout.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ServiceRollout.java
@@ -1,10 +1,13 @@
 package org.gentianwalk.gateway.control;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.gentianwalk.core.dispatch.Upstream;
 import org.gentianwalk.core.hash.KeyHash;
@@ -21,6 +24,13 @@
  * force and the plan. Confined to the control thread.
  */
 final class ServiceRollout {
+    /**
+     * Time after which upstreams of a further version are used without an order. An order and the
+     * entries of the upstreams that it starts are read from two tables, so the entries may arrive
+     * first. Upstreams are also replaced by those of another version without an order.
+     */
+    private static final long UNORDERED_NANOS = Duration.ofSeconds(3).toNanos();
+
     final String mService;
 
     /** The order, or null when there is none that can be read. */
@@ -69,6 +79,11 @@
     private String mInForce = "";
     private String mPermittedOld = "";
     private Set<String> mListedVersions = Set.of();
+    private final Map<String, Long> mListedSince = new HashMap<>();
+
+    /** Versions that a completed rollout has replaced. */
+    private final Set<String> mReplaced = new HashSet<>();
+
     private Set<String> mObserved = Set.of();
     private boolean mHasUpstreams;
 
@@ -90,11 +105,14 @@
      *
      * @param upstreams all listed upstreams of the service
      * @param share fraction of the new upstreams that are observed, so that they get the usual load
+     * @param nowNanos current time
      */
-    void updateUpstreams(Collection<Upstream> upstreams, double share) {
+    void updateUpstreams(Collection<Upstream> upstreams, double share, long nowNanos) {
         Set<String> versions = new HashSet<>();
         upstreams.forEach(upstream -> versions.add(upstream.version()));
         mListedVersions = versions;
+        versions.forEach(version -> mListedSince.putIfAbsent(version, nowNanos));
+        mListedSince.keySet().retainAll(versions);
         mHasUpstreams = !upstreams.isEmpty();
         if (!versions.isEmpty() && mInForce.isEmpty()) {
             mInForce = versions.size() == 1 ? versions.iterator().next() : oldest(upstreams);
@@ -175,22 +193,47 @@
     /** Returns whether a new attempt may go to an upstream. */
     boolean isPermitted(String route, Upstream upstream, boolean retry, long nowNanos) {
         RolloutPlan plan = mPlan;
-        boolean isInForce = upstream.version().equals(mPermittedOld);
+        boolean isOld = upstream.version().equals(mPermittedOld) || isUnordered(upstream, nowNanos);
         if (plan == null) {
-            return isInForce;
+            return isOld;
         }
         boolean isNew = isNew(upstream);
         return switch (plan.phase()) {
-            case COMPLETED -> isNew;
+            case COMPLETED -> isNew || isUnordered(upstream, nowNanos);
             // An order for the version in force may have been withdrawn.
-            case ROLLED_BACK -> isInForce;
+            case ROLLED_BACK -> isOld;
             default ->
                     isNew
                             ? plan.mayStart(route, true, retry, nowNanos)
-                            : isInForce && plan.mayStart(route, false, retry, nowNanos);
+                            : isOld && plan.mayStart(route, false, retry, nowNanos);
         };
     }
 
+    /** Returns whether an upstream has a further version that no order is about. */
+    private boolean isUnordered(Upstream upstream, long nowNanos) {
+        String version = upstream.version();
+        RolloutPlan plan = mPlan;
+        Status status = mStatus;
+        Long since = mListedSince.get(version);
+        boolean rolledBack =
+                status != null
+                        && status.state() == State.ROLLED_BACK
+                        && status.version().equals(version);
+        return since != null
+                && nowNanos - since >= UNORDERED_NANOS
+                && !rolledBack
+                && !mReplaced.contains(version)
+                && !isAvoided(version, plan == null ? null : plan.order());
+    }
+
+    /** Records that the order's rollout has been completed. */
+    void recordCompletion(String version) {
+        mReplaced.addAll(mListedVersions);
+        mReplaced.add(mInForce);
+        mReplaced.remove(version);
+        mInForce = version;
+    }
+
     /** Returns the state of the status row if it belongs to the last order, or null. */
     @Nullable State stateOfOrder() {
         Status status = mStatus;
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/control/RolloutCoordinatorTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/control/RolloutCoordinatorTest.java
@@ -46,6 +46,14 @@
         assertThat(mFleet.mStates).isEmpty();
     }
 
+    /** Guards against upstreams without load that replace others of an earlier version. */
+    @Test
+    void aVersionThatNoOrderFollowsIsUsed() {
+        mFleet.run(Duration.ofSeconds(5));
+
+        assertThat(mFleet.mNewCalls).isPositive();
+    }
+
     /** A store that is down must neither end the rollout early nor complete it late. */
     @ParameterizedTest
     @CsvSource({
