--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -128,6 +128,10 @@
     private @Nullable FleetLink mFleet;
     private @Nullable EvidenceKeeper mEvidence;
     private volatile @Nullable RolloutCoordinator mRollouts;
+
+    /** Watch of the status of rollouts, until it is started. */
+    private @Nullable TableWatcher mStatusWatcher;
+
     private @Nullable RouteTable mHeldBack;
     private @Nullable Long mStopsAt;
     private @Nullable Long mTickDueAt;
@@ -204,14 +208,14 @@
                                 mSettings.upstreamChange(), STORE_TIMEOUT, UPSTREAM_PAUSE)));
         RolloutFormat format = mRowFormat.rollouts();
         if (rollouts != null && format != null) {
-            mWatchers.add(
+            mStatusWatcher =
                     createWatcher(
                             store,
                             fleet,
                             format.statusTable(),
                             new RolloutStatusListener(rollouts, mLog),
                             WatchTimes.within(
-                                    mSettings.configChange(), STORE_TIMEOUT, CONFIG_PAUSE)));
+                                    mSettings.configChange(), STORE_TIMEOUT, CONFIG_PAUSE));
         }
         fleet.setWatchers(mWatchers);
         fleet.start(mSettings.mesh().address());
@@ -585,6 +589,14 @@
     }
 
     private void advanceRollouts(RolloutCoordinator rollouts) {
+        TableWatcher statuses = mStatusWatcher;
+        FleetLink fleet = mFleet;
+        if (statuses != null && fleet != null && rollouts.hasOrders()) {
+            // The store bills each call, so its table is not watched without an order.
+            mStatusWatcher = null;
+            fleet.setWatchers(List.of(statuses));
+            statuses.start();
+        }
         rollouts.advance(work -> mRequests.find(work) != null);
         mSchedulers.forEach(
                 (service, scheduler) -> {
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/RolloutCoordinator.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/RolloutCoordinator.java
@@ -234,6 +234,11 @@
         }
     }
 
+    /** Returns whether the table of orders has an order. */
+    boolean hasOrders() {
+        return mServices.values().stream().anyMatch(service -> service.mOrder != null);
+    }
+
     /** Records that the store can't be reached. */
     void recordOutage() {
         mStoreReachable = false;
