Take the bounds of rollouts from the environment where the file omits them

The deploy file passes the bounds as variables, which are empty where a deployment does not state them.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/settings/SettingsReader.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/settings/SettingsReader.java
@@ -152,12 +152,16 @@
     }
 
     /** Returns the bounds of version rollouts, or null when rollouts are not handled. */
-    private static @Nullable ExposureLimits exposure(JsonNode root) throws SettingsException {
+    private @Nullable ExposureLimits exposure(JsonNode root) throws SettingsException {
+        JsonNode shareGiven = withEnvironment(root, "exposure_share");
+        JsonNode slackGiven = withEnvironment(root, "exposure_slack");
+        JsonNode rollbackGiven = withEnvironment(root, "rollback_ms");
         // Checked in any case, so that a wrong value is found before the first rollout.
-        double share = number(root, "exposure_share", 0, 0, 1);
-        double slack = number(root, "exposure_slack", DEFAULT_EXPOSURE_SLACK, 0, 1e6);
-        double millis = number(root, "rollback_ms", DEFAULT_ROLLBACK_MS, 0, MAX_ROLLBACK_MS);
-        if (!root.hasNonNull("exposure_share")) {
+        double share = number(shareGiven, "exposure_share", 0, 0, 1);
+        double slack = number(slackGiven, "exposure_slack", DEFAULT_EXPOSURE_SLACK, 0, 1e6);
+        double millis =
+                number(rollbackGiven, "rollback_ms", DEFAULT_ROLLBACK_MS, 0, MAX_ROLLBACK_MS);
+        if (!shareGiven.hasNonNull("exposure_share")) {
             return null;
         }
         return new ExposureLimits(share, (int) slack, Math.round(millis * NANOS_PER_MILLI));
@@ -238,16 +242,21 @@
     }
 
     private Duration millis(JsonNode root, String key) throws SettingsException {
-        String variable = VARIABLE_PREFIX + key.toUpperCase(Locale.ROOT);
-        String text = mEnvironment.get(variable);
-        JsonNode given = root;
-        if (!root.hasNonNull(key) && text != null) {
-            given = JsonNodeFactory.instance.objectNode().put(key, parseNumber(variable, text));
-        }
+        JsonNode given = withEnvironment(root, key);
         double millis = number(given, key, DEFAULT_CHANGE_MS, MIN_CHANGE_MS, MAX_CHANGE_MS);
         return Duration.ofMillis(Math.round(millis));
     }
 
+    /** Returns the settings with the environment's value of a key that the file does not state. */
+    private JsonNode withEnvironment(JsonNode root, String key) throws SettingsException {
+        String variable = VARIABLE_PREFIX + key.toUpperCase(Locale.ROOT);
+        String text = mEnvironment.get(variable);
+        // A deployment without the value leaves the variable empty.
+        return root.hasNonNull(key) || text == null || text.isBlank()
+                ? root
+                : JsonNodeFactory.instance.objectNode().put(key, parseNumber(variable, text));
+    }
+
     private static double parseNumber(String variable, String text) throws SettingsException {
         try {
             return Double.parseDouble(text.trim());
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/settings/SettingsReaderTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/settings/SettingsReaderTest.java
@@ -75,6 +75,25 @@
                 .hasMessageContaining("must be a number");
     }
 
+    /** The variables are empty where a deployment does not state the bounds. */
+    @Test
+    void theEnvironmentMayStateTheBoundsOfRollouts() throws Exception {
+        SettingsReader without = new SettingsReader(Map.of("GENTIANWALK_EXPOSURE_SHARE", ""));
+        SettingsReader with =
+                new SettingsReader(
+                        Map.of(
+                                "GENTIANWALK_EXPOSURE_SHARE",
+                                "0.1",
+                                "GENTIANWALK_EXPOSURE_SLACK",
+                                "50",
+                                "GENTIANWALK_ROLLBACK_MS",
+                                "4000"));
+
+        assertThat(without.read(file("least")).exposure()).isNull();
+        assertThat(with.read(file("least")).exposure())
+                .isEqualTo(new ExposureLimits(0.1, 50, Duration.ofSeconds(4).toNanos()));
+    }
+
     /** Bounds that are ignored, or misread, would expose callers to a bad version. */
     @Test
     void theBoundsOfRolloutsAreOptional() throws Exception {
--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -137,8 +137,6 @@
                                 .append("\"" + zone + "\": \"" + region + "\""));
         String text = Files.readString(mRoot.resolve("deploy/instance.yaml.template"));
         text = text.replaceAll("\\{\\{#zones}}.*\\{\\{/zones}}", zones.toString());
-        // Sections without a value are not rendered.
-        text = text.replaceAll("(?m)^\\{\\{#bounds\\..*\\{\\{/bounds\\..*}}\\R?", "");
         text = text.replace("{{ip}}:9464", "127.0.0.1:" + node.metrics);
         Map<String, String> values =
                 Map.ofEntries(
