Send load notices for rollouts only while one is running

Where rollouts are enabled, each attempt made its instance send a load notice to all others within 250 ms, also without an order. RolloutCoordinatorTest fails without the change.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/RolloutCoordinator.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/RolloutCoordinator.java
@@ -509,11 +509,18 @@
         if (mRecorded && now - mChangedAt >= REPORT_NANOS) {
             mRecorded = false;
             mChangedAt = now;
-            mChanges++;
+            // A load notice to all instances costs processor time, so none is sent without need.
+            mChanges += hasRunningPlan() ? 1 : 0;
         }
         mMetrics = describe();
     }
 
+    private boolean hasRunningPlan() {
+        return mServices.values().stream()
+                .map(service -> service.mPlan)
+                .anyMatch(plan -> plan != null && !plan.phase().isFinal());
+    }
+
     private void advance(ServiceRollout service, long now) {
         RolloutPlan plan = service.mPlan;
         if (plan == null) {
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/control/RolloutCoordinatorTest.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/control/RolloutCoordinatorTest.java
@@ -54,6 +54,15 @@
         assertThat(mFleet.mNewCalls).isPositive();
     }
 
+    /** Guards against load notices to all instances four times a second without a rollout. */
+    @Test
+    void nothingIsReportedWithoutAnOrder() {
+        mFleet.run(Duration.ofSeconds(5));
+
+        assertThat(mFleet.mInstances.values())
+                .allSatisfy(instance -> assertThat(instance.changes()).isZero());
+    }
+
     /** A store that is down must neither end the rollout early nor complete it late. */
     @ParameterizedTest
     @CsvSource({
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/control/RolloutFleet.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/control/RolloutFleet.java
@@ -191,6 +191,10 @@
             mClient.rejecting(disconnected);
         }
 
+        long changes() {
+            return mRollouts.changes();
+        }
+
         int rank() {
             return mRollouts.rank(SERVICE);
         }
