Refuse requests of teams whose names a head can't carry

Such requests are refused with 503 before an attempt starts, so "has not run" is true. 401 or 404 would state that key or route are not in force. Each version of the configuration that has such teams is logged with their names. Encoding the name otherwise (percent) was ruled out: upstreams would get a name that the configuration does not have.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/route/RouteTable.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/route/RouteTable.java
@@ -159,6 +159,15 @@
         return mTeamsByKey.get(key);
     }
 
+    /**
+     * Returns the teams that have an API key.
+     *
+     * @return the teams of this version
+     */
+    public Set<Team> teams() {
+        return Set.copyOf(mTeamsByKey.values());
+    }
+
     private static String hostName(String host) {
         int colon = host.lastIndexOf(':');
         String name = colon < 0 || host.endsWith("]") ? host : host.substring(0, colon);
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/control/ControlPlane.java
@@ -39,6 +39,7 @@
 import org.gentianwalk.core.rollout.RolloutReport;
 import org.gentianwalk.core.route.RouteTable;
 import org.gentianwalk.core.route.ServiceSpec;
+import org.gentianwalk.core.route.Team;
 import org.gentianwalk.core.time.Ticker;
 import org.gentianwalk.gateway.GatewaySettings;
 import org.gentianwalk.gateway.fleet.FleetLink;
@@ -53,6 +54,7 @@
 import org.gentianwalk.gateway.traffic.ControlPort;
 import org.gentianwalk.gateway.traffic.Delivery;
 import org.gentianwalk.gateway.traffic.Exchange;
+import org.gentianwalk.gateway.wire.HeadText;
 import org.gentianwalk.server.guard.FailureGuard;
 import org.jspecify.annotations.Nullable;
 
@@ -917,6 +919,11 @@
                 table.version(),
                 table.routeCount(),
                 "store");
+        for (Team team : table.teams()) {
+            if (!HeadText.isRepresentable(team.name())) {
+                mLog.teamRefused(team.name(), table.version());
+            }
+        }
     }
 
     private void applyHeldBack() {
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
@@ -162,6 +162,18 @@
                         .with("source", source));
     }
 
+    /**
+     * Logs that the requests of a team are refused, since its name can't be sent to upstreams.
+     *
+     * @param team name of the team
+     * @param version version of the configuration
+     */
+    public void teamRefused(String team, long version) {
+        LOG.warnv(
+                "the name of a team can't be sent to upstreams, its requests are refused",
+                new Fields().with("team", team).with("config", version));
+    }
+
     /**
      * Logs a change in the phase of a version rollout.
      *
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/TrafficHandler.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/TrafficHandler.java
@@ -15,6 +15,7 @@
 import org.gentianwalk.gateway.http.CallerRequest;
 import org.gentianwalk.gateway.http.RequestHandler;
 import org.gentianwalk.gateway.wire.CallerHead;
+import org.gentianwalk.gateway.wire.HeadText;
 import org.jspecify.annotations.Nullable;
 
 /** Determines the route and the team of each request and passes it to the control thread. */
@@ -75,6 +76,12 @@
                 return NO_LISTENER;
             }
         }
+        if (team != null && !HeadText.isRepresentable(team.name())) {
+            // An upstream could take the request for one of another team.
+            channel.respond(
+                    SERVICE_UNAVAILABLE, "the team's name can't be sent to upstreams", null);
+            return NO_LISTENER;
+        }
         Work work = work(request, route, team);
         Exchange exchange = new Exchange(work, request, channel, mCollaborators);
         mCollaborators.control().requestArrived(work, exchange);
--- a/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/PlainDialect.java
+++ b/gentianwalk-gateway/src/test/java/org/gentianwalk/gateway/http/PlainDialect.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.gentianwalk.gateway.wire.CallerHead;
+import org.gentianwalk.gateway.wire.HeadText;
 import org.gentianwalk.gateway.wire.MalformedHeadException;
 import org.gentianwalk.gateway.wire.ResponseHead;
 import org.gentianwalk.gateway.wire.UpstreamHead;
@@ -34,6 +35,10 @@
     public void setUpstreamHeaders(HttpHeaders headers, UpstreamHead head) {
         headers.set("x-left", head.timeLeft().toMillis());
         headers.set("x-run", head.upstreamId());
+        headers.remove("x-team");
+        if (head.team() != null) {
+            headers.set("x-team", HeadText.encode(head.team()));
+        }
         if (head.lastEvent() > 0) {
             headers.set("x-last", head.lastEvent());
         }
