Forward request targets beyond ASCII unchanged

A target is read as UTF-8, which is what is written and what the configuration has. Bytes that are not UTF-8 could not be written as they are; such a request is refused with 400 instead of being altered. Percent-encoded targets stay as they were.

--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/CallerRequest.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/CallerRequest.java
@@ -8,7 +8,7 @@
  * A complete request of a caller.
  *
  * @param method its method
- * @param target its request target, forwarded unchanged
+ * @param target its request target, forwarded unchanged; bytes beyond ASCII are read as UTF-8
  * @param host its host header; empty without one
  * @param headers its end-to-end headers
  * @param head the parsed values of its headers
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/http/EdgeConnection.java
@@ -31,6 +31,7 @@
 import java.util.concurrent.TimeUnit;
 import org.gentianwalk.core.route.CallerLimits;
 import org.gentianwalk.gateway.wire.CallerHead;
+import org.gentianwalk.gateway.wire.HeadText;
 import org.gentianwalk.gateway.wire.MalformedHeadException;
 import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
@@ -244,6 +245,16 @@
                     "send one length or one transfer coding, not both");
             return;
         }
+        String target = HeadText.decode(request.uri());
+        if (target == null) {
+            // The codec writes a target in UTF-8, which would have other bytes.
+            reject(
+                    context,
+                    HttpResponseStatus.BAD_REQUEST,
+                    "send the request target in UTF-8, or percent-encoded");
+            return;
+        }
+        request.setUri(target);
         CallerLimits limits = mOptions.limits().get();
         if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
             reject(
