Log whether a loss can be held against its request

`loss confirmed` and `loss dropped` now state whether the request would be recognized when it comes again.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
@@ -302,7 +302,8 @@
                                 loss.process().upstream().process(),
                                 loss.requestId(),
                                 sign,
-                                Duration.ofNanos(nowNanos - loss.atNanos())));
+                                Duration.ofNanos(nowNanos - loss.atNanos()),
+                                loss.subject().isKnown()));
             }
         }
         return dropped;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/SettledLoss.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/SettledLoss.java
@@ -9,8 +9,11 @@
  * @param requestId identifier of the request
  * @param sign what settled it
  * @param after time between the loss and that sign
+ * @param recognizable whether the request is recognized when it comes again, so that the loss can
+ *     be held against it
  */
-public record SettledLoss(String process, String requestId, Sign sign, Duration after) {
+public record SettledLoss(
+        String process, String requestId, Sign sign, Duration after, boolean recognizable) {
     /** What settles a loss. */
     public enum Sign {
         /** The process is known to have ended, so the loss counts. */
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingCallTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingCallTest.java
@@ -151,7 +151,8 @@
                                 lost.process(),
                                 "request-" + id,
                                 SettledLoss.Sign.ENDED,
-                                Duration.ofNanos(listed - MS)));
+                                Duration.ofNanos(listed - MS),
+                                true));
     }
 
     /**
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/log/GatewayLog.java
@@ -296,7 +296,8 @@
                         .with("request", loss.requestId())
                         .with("process", loss.process())
                         .with("sign", loss.sign().name().toLowerCase(Locale.ROOT))
-                        .with("after_ms", loss.after().toMillis()));
+                        .with("after_ms", loss.after().toMillis())
+                        .with("recognizable", Boolean.toString(loss.recognizable())));
     }
 
     /**
