Recognize streams to plain services that crash their upstreams

Cause: TrafficHandler left out the fingerprint of every kind of stream, since generations are recognized by the parts of their prompts. A plain service's scheduler knows requests by their content only, so the losses were held against nothing.

Each request has the fingerprint of its content now. A stream that has begun did not crash its upstream at its begin: its first event clears its content, and a loss after it is not held against it, so that resumable streams go on elsewhere after two losses instead of ending as unknown.

CrashingCallTest .aStreamThatHasBegunGoesOnAfterSeveralLosses failed before.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallEvidence.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallEvidence.java
@@ -7,7 +7,6 @@
 import org.gentianwalk.core.policy.suspect.SuspectEntry;
 import org.gentianwalk.core.policy.suspect.SuspectTable;
 import org.gentianwalk.core.policy.suspect.SuspectTable.Verdict;
-import org.jspecify.annotations.Nullable;
 
 /** Evidence of this and other instances on which calls crash the upstreams of a service. */
 final class CallEvidence {
@@ -23,24 +22,29 @@
     private long mChanges;
 
     /**
-     * Records what the end of an attempt shows.
+     * Records that an attempt has lost its upstream.
      *
-     * @return the possible loss of the upstream, or null
+     * @return what becomes known about the loss
      */
-    LossEvidence.@Nullable Outcome recordEnd(
+    LossEvidence.Outcome recordLoss(
             String requestId,
             SuspectSubject subject,
             CallTarget target,
-            AttemptEnd end,
             long startedNanos,
             long nowNanos) {
-        if (end.isProcessLost()) {
-            return mLosses.recordLoss(target, requestId, subject, true, startedNanos, nowNanos);
-        }
+        return mLosses.recordLoss(target, requestId, subject, true, startedNanos, nowNanos);
+    }
+
+    /** Records the end of an attempt whose upstream was not lost. */
+    void recordAnswer(SuspectSubject subject, AttemptEnd end, long nowNanos) {
         if (end == AttemptEnd.SUCCEEDED || end == AttemptEnd.ANSWERED_ERROR) {
-            mChanges += mLosses.recordOutput(subject, nowNanos) ? 1 : 0;
+            recordOutput(subject, nowNanos);
         }
-        return null;
+    }
+
+    /** Records that an upstream has run a call, or has begun a stream. */
+    void recordOutput(SuspectSubject subject, long nowNanos) {
+        mChanges += mLosses.recordOutput(subject, nowNanos) ? 1 : 0;
     }
 
     /** Returns the processes whose loss under a request is not settled. */
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallRun.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallRun.java
@@ -33,7 +33,10 @@
     private long mEndedAt;
     private long mTriedBesideAt;
     private boolean mTriedBeside;
-    private boolean mAnswering;
+
+    /** Numbers of the attempts of whose answer a part was forwarded. */
+    private final Set<Integer> mAnswering = new HashSet<>();
+
     private int mUnexecutedAttempts;
     private int mRejections;
     private int mExecutions;
@@ -72,14 +75,27 @@
                         .allMatch(attempt -> nowNanos - attempt.startedAt() >= overdueNanos);
     }
 
-    /** Records that a part of an answer was forwarded, which no other attempt can replace. */
-    void recordAnswering() {
-        mAnswering = true;
+    /**
+     * Records that a part of an attempt's answer was forwarded, which no other attempt can replace
+     * unless it is a stream.
+     *
+     * @return whether it was the first part
+     */
+    boolean recordAnswering(int attempt) {
+        return mAnswering.add(attempt);
+    }
+
+    /**
+     * Returns whether a stream has begun at an upstream, so that it does not crash upstreams that
+     * begin to run it.
+     */
+    boolean isStreamBegun(CallAttempt attempt) {
+        return mWork.kind().isStream() && mAnswering.contains(attempt.number());
     }
 
     /** Returns whether a part of an answer was forwarded. */
     boolean isAnswering() {
-        return mAnswering;
+        return !mAnswering.isEmpty();
     }
 
     /**
@@ -162,7 +178,7 @@
     void release(long overdueNanos, long nowNanos) {
         for (CallAttempt attempt : mAttempts.values()) {
             attempt.target().release(attempt.startedAt());
-            if (!mAnswering && nowNanos - attempt.startedAt() >= overdueNanos) {
+            if (mAnswering.isEmpty() && nowNanos - attempt.startedAt() >= overdueNanos) {
                 attempt.target().recordSilence(nowNanos);
             }
         }
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallScheduler.java
@@ -20,7 +20,8 @@
  * Assigns short calls to the upstreams of a plain service. A call is sent immediately and never
  * queued in the instance, since the wait in an upstream's own queue is shorter than a round trip
  * between instances. A repeatable call whose upstream was lost waits for one that can repeat it. A
- * call whose content crashes upstreams is not repeated and finally refused, at all instances.
+ * call whose content crashes upstreams is not repeated and finally refused, at all instances. A
+ * stream is a call, too, and goes on elsewhere after its last event if it may be resumed.
  */
 public final class CallScheduler
         implements WorkScheduler, PeerLoadAware, EvidenceAware, LivenessAware {
@@ -120,8 +121,8 @@
     @Override
     public void recordProgress(long work, int attempt, Progress progress) {
         CallRun call = mCalls.get(work);
-        if (call != null) {
-            call.recordAnswering();
+        if (call != null && call.recordAnswering(attempt) && call.work().kind().isStream()) {
+            mEvidence.recordOutput(call.subject(), progress.lastNanos());
         }
     }
 
@@ -156,17 +157,19 @@
         if (end == AttemptEnd.SUPERSEDED && duration >= mTargets.overdueNanos()) {
             target.recordSilence(nowNanos);
         }
-        call.recordEnd(
-                ended,
-                end,
-                mEvidence.recordEnd(
-                        call.work().requestId(),
-                        call.subject(),
-                        target,
-                        end,
-                        ended.startedAt(),
-                        nowNanos),
-                nowNanos);
+        LossEvidence.Outcome loss = null;
+        if (!end.isProcessLost()) {
+            mEvidence.recordAnswer(call.subject(), end, nowNanos);
+        } else if (!call.isStreamBegun(ended)) {
+            loss =
+                    mEvidence.recordLoss(
+                            call.work().requestId(),
+                            call.subject(),
+                            target,
+                            ended.startedAt(),
+                            nowNanos);
+        }
+        call.recordEnd(ended, end, loss, nowNanos);
         if (end.isProcessLost() && call.work().kind().isRepeatable()) {
             // Later, a process that was started in its place could answer for it.
             mChecks.request(target, nowNanos);
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingCallTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CrashingCallTest.java
@@ -309,6 +309,34 @@
         }
     }
 
+    /** Upstreams that end later than at the begin of a stream do not end because of it. */
+    @Test
+    void aStreamThatHasBegunGoesOnAfterSeveralLosses() {
+        createFleet(1, 6, 1);
+        CallScheduler instance = mInstances.getFirst();
+        for (int round = 0; round < 3; round++) {
+            long now = round * SECOND;
+            long id = offer(0, RequestKind.RESUMABLE_STREAM, SOUND, now);
+            for (int attempt = 1; attempt <= 4; attempt++) {
+                now += 20 * MS;
+                List<Decision> decisions = instance.advance(now);
+
+                assertThat(Samples.starts(decisions)).as("attempt " + attempt).hasSize(1);
+                instance.recordProgress(id, attempt, new Progress(1, now + MS, 0));
+                instance.recordAttemptEnd(id, attempt, AttemptEnd.CRASHED, now + 2 * MS);
+            }
+            instance.advance(now + 3 * MS);
+            instance.remove(id, now + 3 * MS);
+            restartAll(now + 3 * MS);
+        }
+    }
+
+    /** The list shows all upstreams as started again. */
+    private void restartAll(long now) {
+        mUpstreams.replaceAll((id, upstream) -> Samples.restarted(upstream, now));
+        mInstances.forEach(instance -> instance.replaceUpstreams(mUpstreams.values(), now));
+    }
+
     private long lateStarts() {
         long settled = mCrashes.get(CRASHES_TO_DETECT - 1) + SETTLING_TIME;
         return mCrashingStarts.stream().filter(at -> at > settled).count();
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/TrafficHandler.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/TrafficHandler.java
@@ -112,11 +112,11 @@
                 route.maxPause().toNanos(),
                 route.maxAttempts(),
                 head.lastEvent(),
-                route.kind().isStream() ? null : content(request, team),
+                content(request, team),
                 route.name());
     }
 
-    /** Returns the fingerprint that recognizes a call that is sent again. */
+    /** Returns the fingerprint that recognizes a request that is sent again. */
     private static Fingerprint content(CallerRequest request, @Nullable Team team) {
         return Fingerprint.of(
                 (team == null ? "" : team.name()).getBytes(StandardCharsets.UTF_8),
