Convict a request that ends three engines of a zone at once

Cause: more than two engines lost in a zone within a second count as a failure of the zone, and their losses are dropped. A request whose attempts follow each other within milliseconds ends three by itself, before the first losses are settled.

A failure of the zone now takes an engine that was lost without the request. A failing zone has such engines; a crashing request alone has none.

SuspectTableTest.aRequestThatEndsThreeEnginesOfAZoneAtOnceIsConvicted failed before (UNKNOWN); anEngineThatIsLostWithoutTheRequestShowsTheFailureOfTheZone and the tests of zone failures hold.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/SuspectTable.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/SuspectTable.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Set;
 import org.gentianwalk.core.model.Fingerprint;
 import org.gentianwalk.core.policy.PolicyOptions;
 import org.gentianwalk.core.policy.routing.Rendezvous;
@@ -458,7 +460,8 @@
                 continue;
             }
             if (!suspect.isConvicted()) {
-                suspect.losses().removeIf(this::isZoneFailure);
+                Set<Integer> engines = engines(suspect);
+                suspect.losses().removeIf(loss -> isZoneFailure(loss, engines));
             }
             if (!suspect.losses().isEmpty()) {
                 selected.add(suspect);
@@ -534,11 +537,12 @@
         if (request.isConvicted()) {
             return;
         }
-        request.losses().removeIf(loss -> isZoneFailure(loss) || mSigns.refutes(loss));
+        Set<Integer> engines = engines(request);
+        request.losses().removeIf(loss -> isZoneFailure(loss, engines) || mSigns.refutes(loss));
         request.unsettled()
                 .removeIf(
                         loss ->
-                                isZoneFailure(loss)
+                                isZoneFailure(loss, engines)
                                         || mSigns.refutes(loss)
                                         || nowNanos - loss.atNanos() > UNSETTLED_NANOS);
         int counted = 0;
@@ -553,9 +557,18 @@
         }
     }
 
-    private boolean isZoneFailure(Suspect.Loss loss) {
+    /**
+     * Returns the engines that were lost under a request, without those that may only be silent.
+     */
+    private static Set<Integer> engines(Suspect request) {
+        Set<Integer> engines = new HashSet<>();
+        request.losses().forEach(loss -> engines.add(loss.engine()));
+        return engines;
+    }
+
+    private boolean isZoneFailure(Suspect.Loss loss, Set<Integer> requestEngines) {
         String zone = mZoneOfEngine.getOrDefault(loss.engine(), "");
-        return mZones.isZoneFailure(zone, loss.atNanos());
+        return mZones.isZoneFailure(zone, loss.atNanos(), requestEngines);
     }
 
     private boolean isExpired(Suspect suspect, long nowNanos) {
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/ZoneLosses.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/ZoneLosses.java
@@ -67,6 +67,20 @@
      *     more than two engines
      */
     public boolean isZoneFailure(String zone, long atNanos) {
+        return isZoneFailure(zone, atNanos, Set.of());
+    }
+
+    /**
+     * Returns whether a loss under a request is part of a zone's failure, which engines show that
+     * were not lost under the request. It may have ended several itself within a second.
+     *
+     * @param zone the zone
+     * @param atNanos time of the loss
+     * @param requestEngines hashes of the engines that were lost under the request
+     * @return true when a window of one second that starts within one second of the loss contains
+     *     more than two engines, at least one of which was not lost under the request
+     */
+    boolean isZoneFailure(String zone, long atNanos, Set<Integer> requestEngines) {
         if (zone.isEmpty()) {
             return false;
         }
@@ -84,7 +98,7 @@
                     engines.add(lost.engine());
                 }
             }
-            if (engines.size() > MAX_INDEPENDENT_LOSSES) {
+            if (engines.size() > MAX_INDEPENDENT_LOSSES && !requestEngines.containsAll(engines)) {
                 return true;
             }
         }
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/policy/suspect/SuspectTableTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/policy/suspect/SuspectTableTest.java
@@ -108,6 +108,34 @@
         assertThat(table.entriesToKeep(9, lost + 3_606 * SECOND)).isEmpty();
     }
 
+    /** Guards against a request that ends so many engines of a zone that the zone seems to fail. */
+    @Test
+    void aRequestThatEndsThreeEnginesOfAZoneAtOnceIsConvicted() {
+        SuspectTable table = table();
+        for (int i = 0; i < 3; i++) {
+            table.recordLoss(CRASHING, "e" + i, SECOND + i);
+        }
+        table.recordLoss(HARMLESS, "e0", SECOND);
+        table.recordLoss(HARMLESS, "e1", SECOND);
+
+        assertThat(table.verdict(CRASHING, 3 * SECOND)).isEqualTo(Verdict.CONVICTED);
+        assertThat(table.verdict(HARMLESS, 3 * SECOND)).isNotEqualTo(Verdict.CONVICTED);
+    }
+
+    /**
+     * Guards against convicting a request that was moved from engine to engine of a failing zone.
+     */
+    @Test
+    void anEngineThatIsLostWithoutTheRequestShowsTheFailureOfTheZone() {
+        SuspectTable table = table();
+        for (int i = 0; i < 3; i++) {
+            table.recordLoss(CRASHING, "e" + i, SECOND + i);
+        }
+        table.recordEngineLoss("e3", SECOND);
+
+        assertThat(table.verdict(CRASHING, 3 * SECOND)).isEqualTo(Verdict.UNKNOWN);
+    }
+
     /** Guards against attributing the failure of a zone to requests. */
     @Test
     void zoneFailureConvictsNoRequest() {
