Let a call that fails twice at an upstream wait for another one

What callers saw: a repeatable call with 4 s left ended with 502 after 0.5 s, three attempts at an upstream that broke off its answers, although the other one was sound.

Cause: the sound upstream was in backoff (up to 1.2 s) after earlier failures, while the first backoffs of the other one are 150 and 300 ms, so that it was the only eligible one each time. Which upstream had the earlier failures depends on random ties.

An upstream at which the call has failed more than once gets no further attempt while another one that the call has not reached leaves its backoff in time. After one failure nothing changes: an upstream that is avoided for long has failed more often than that one.

CallRepetitionTest.aCallThatFailsAgainAtAnUpstreamWaitsForAnotherOne failed before (third attempt at the same upstream), and ...DoesNotWaitBeyondItsDeadline holds.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallRun.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallRun.java
@@ -25,6 +25,9 @@
     /** Time from which the call may reach each upstream again that it has reached. */
     private final Map<String, Long> mReachableAt = new HashMap<>();
 
+    /** Number of attempts at each upstream that may have executed the call and have failed. */
+    private final Map<String, Integer> mFailures = new HashMap<>();
+
     /** The possible losses of upstreams under the call. */
     private final Set<LossEvidence.Outcome> mLosses = new HashSet<>();
 
@@ -164,7 +167,10 @@
         mRetryTaken &= end.isNotSent();
         mUnexecutedAttempts += end.isNotExecuted() ? 1 : 0;
         mRejections += end == AttemptEnd.REJECTED ? 1 : 0;
-        mExecutions += end.isNotExecuted() ? 0 : 1;
+        if (!end.isNotExecuted()) {
+            mExecutions++;
+            mFailures.merge(attempt.target().upstream().id(), 1, Integer::sum);
+        }
         if (end == AttemptEnd.ANSWERED_ERROR) {
             mErrorTarget = attempt.target();
         }
@@ -196,6 +202,11 @@
         return isAt(target) || mReachableAt.containsKey(target.upstream().id());
     }
 
+    /** Returns whether the call has failed at an upstream more than once. */
+    boolean hasFailedAgainAt(CallTarget target) {
+        return mFailures.getOrDefault(target.upstream().id(), 0) > 1;
+    }
+
     /** Returns whether the call may reach an upstream now, for the first time or again. */
     boolean mayReach(CallTarget target, long nowNanos) {
         Long at = mReachableAt.get(target.upstream().id());
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTarget.java
@@ -114,6 +114,11 @@
         return mReachability.isBackingOff(nowNanos);
     }
 
+    /** Returns the rest of the time for which the process is avoided, nanoseconds. */
+    long backoffNanos(long nowNanos) {
+        return isBackingOff(nowNanos) ? mReachability.backoffUntil() - nowNanos : 0;
+    }
+
     /** Records that the process has ended, although it may still be listed. */
     void markReplaced() {
         mReplaced = true;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTargets.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/CallTargets.java
@@ -145,15 +145,31 @@
 
     /**
      * Returns the upstream for a call that may have been executed, or null while there is none: one
-     * that it has not reached if possible, or one that may have recovered since.
+     * that it has not reached if possible, or one that may have recovered since. One at which it
+     * has failed more than once gets no further attempt while another one is about to be usable.
      */
     @Nullable CallTarget chooseForRepeat(CallRun call, long nowNanos) {
+        boolean isOtherAwaited =
+                mTargets.values().stream().anyMatch(target -> isAwaited(target, call, nowNanos));
         return choose(
                 call,
-                target -> call.mayReach(target, nowNanos) && !target.isBackingOff(nowNanos),
+                target ->
+                        call.mayReach(target, nowNanos)
+                                && !target.isBackingOff(nowNanos)
+                                && !(isOtherAwaited && call.hasFailedAgainAt(target)),
                 nowNanos);
     }
 
+    /** Returns whether a call can reach an upstream for the first time before its deadline. */
+    private boolean isAwaited(CallTarget target, CallRun call, long nowNanos) {
+        long usableAt = nowNanos + target.backoffNanos(nowNanos);
+        return target.isUsable()
+                && !call.hasReached(target)
+                && usableAt + mDuration.usualNanos() - call.work().deadlineNanos() < 0
+                && mGate.isPermitted(call.work(), target.upstream(), nowNanos)
+                && mLimits.isPermitted(target.upstream(), nowNanos);
+    }
+
     private @Nullable CallTarget choose(
             CallRun call, Predicate<CallTarget> isEligible, long nowNanos) {
         VersionGate preferred = mGate.preferred(call.work(), nowNanos);
--- a/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallRepetitionTest.java
+++ b/gentianwalk-core/src/test/java/org/gentianwalk/core/dispatch/CallRepetitionTest.java
@@ -52,6 +52,34 @@
         assertThat(mNow).as("after the backoff").isBetween(150 * MS, 250 * MS);
     }
 
+    /** The other upstream is sound again, but avoided for a while after its earlier failures. */
+    @Test
+    void aCallThatFailsAgainAtAnUpstreamWaitsForAnotherOne() {
+        mLimitMillis = 4_000;
+        failOften(mNext);
+        long avoidedUntil = mNow + 1_200 * MS;
+        offer(mNear, mNext);
+        end(1, AttemptEnd.GARBLED);
+        assertThat(nextStart().upstream()).isEqualTo(mNear);
+        end(2, AttemptEnd.GARBLED);
+
+        assertThat(nextStart().upstream()).isEqualTo(mNext);
+        assertThat(mNow).isGreaterThanOrEqualTo(avoidedUntil);
+    }
+
+    /** Waiting for the other upstream would use up the time of the call. */
+    @Test
+    void aCallThatFailsAgainAtAnUpstreamDoesNotWaitBeyondItsDeadline() {
+        mLimitMillis = 1_000;
+        failOften(mNext);
+        offer(mNear, mNext);
+        end(1, AttemptEnd.GARBLED);
+        assertThat(nextStart().upstream()).isEqualTo(mNear);
+        end(2, AttemptEnd.GARBLED);
+
+        assertThat(nextStart().upstream()).isEqualTo(mNear);
+    }
+
     /** The list of upstreams is empty, or all of them drain, while the call needs another one. */
     @Test
     void aCallIsRepeatedOnceAnUpstreamIsListedAgain() {
@@ -236,6 +264,18 @@
         return List.of(Samples.draining(mNear), Samples.draining(mNext));
     }
 
+    /** Lets calls fail at an upstream until it is avoided for the longest time. */
+    private void failOften(Upstream upstream) {
+        mScheduler.replaceUpstreams(List.of(upstream), mNow);
+        for (int failures = 0; failures < 4; failures++) {
+            advance(failures == 0 ? 0 : 1_200 * MS);
+            mScheduler.offer(Samples.call(9, RequestKind.SINGLE_CALL, 1, mNow), mNow);
+            mScheduler.advance(mNow);
+            mScheduler.recordAttemptEnd(9, 1, AttemptEnd.LOST, mNow);
+            mScheduler.advance(mNow);
+        }
+    }
+
     private void offer(Upstream... upstreams) {
         mScheduler.replaceUpstreams(List.of(upstreams), mNow);
         Work work =
