Leave engines that may be lost under a request out of its zone's failure

The record keeps the engines that may have been lost under a request, without holding them against it; a success of the request clears them.

CrashingStreamTest.aStreamThatCrashesTheEnginesOfOneZoneIsStopped failed before (the second arrival ran), aStreamInAFailingZoneIsNotConvicted held.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/LossEvidence.java
@@ -136,6 +136,9 @@
         // An upstream that did not respond before it closed the connection is lost once.
         mUnconfirmed.removeIf(
                 loss -> loss.process() == process && loss.requestId().equals(requestId));
+        if (subject.isKnown()) {
+            mSuspects.recordPossibleLoss(subject.request(), process.upstream().process(), nowNanos);
+        }
         mUnconfirmed.add(
                 new Loss<>(process, requestId, subject, closed, startedNanos, nowNanos, outcome));
         return outcome;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/Suspect.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/Suspect.java
@@ -36,6 +36,11 @@
     /** Losses that are neither confirmed nor refuted yet. */
     private final List<Loss> mUnsettled = new ArrayList<>(0);
 
+    /**
+     * Hashes of the engines that may have been lost under it, of which some may not be known yet.
+     */
+    private final Set<Integer> mPossiblyLost = new HashSet<>(0);
+
     private @Nullable Long mClearedAt;
     private boolean mConvicted;
     private long mChangedAt;
@@ -145,6 +150,20 @@
         return true;
     }
 
+    /** Adds an engine that may have been lost under it. */
+    void addPossiblyLost(int engine) {
+        if (mPossiblyLost.size() < MAX_LOSSES) {
+            mPossiblyLost.add(engine);
+        }
+    }
+
+    /** Returns the engines that were or may have been lost under it since its last success. */
+    Set<Integer> engines() {
+        Set<Integer> engines = new HashSet<>(mPossiblyLost);
+        mLosses.forEach(loss -> engines.add(loss.engine()));
+        return engines;
+    }
+
     /** Adds a loss that is neither confirmed nor refuted yet. */
     void addUnsettled(Loss loss) {
         boolean known =
@@ -168,6 +187,7 @@
         mClearedAt = atNanos;
         mLosses.removeIf(loss -> loss.atNanos() - atNanos <= 0);
         mUnsettled.removeIf(loss -> loss.atNanos() - atNanos <= 0);
+        mPossiblyLost.clear();
         mConvicted = false;
         recordChange(atNanos);
         return true;
--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/SuspectTable.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/policy/suspect/SuspectTable.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -145,6 +144,21 @@
         }
     }
 
+    /**
+     * Records that an engine may have been lost under a request. That is no evidence against the
+     * request, but the engine does not show a failure of its zone to it either.
+     *
+     * @param request the request
+     * @param engine the engine
+     * @param atNanos time of the possible loss
+     */
+    public void recordPossibleLoss(Fingerprint request, String engine, long atNanos) {
+        mSuspects
+                .computeIfAbsent(request, key -> new Suspect(key, false, atNanos))
+                .addPossiblyLost(engineHash(engine));
+        enforceBound();
+    }
+
     /**
      * Records the loss of an engine that was running a request, with what proves the loss.
      *
@@ -460,7 +474,7 @@
                 continue;
             }
             if (!suspect.isConvicted()) {
-                Set<Integer> engines = engines(suspect);
+                Set<Integer> engines = suspect.engines();
                 suspect.losses().removeIf(loss -> isZoneFailure(loss, engines));
             }
             if (!suspect.losses().isEmpty()) {
@@ -537,7 +551,7 @@
         if (request.isConvicted()) {
             return;
         }
-        Set<Integer> engines = engines(request);
+        Set<Integer> engines = request.engines();
         request.losses().removeIf(loss -> isZoneFailure(loss, engines) || mSigns.refutes(loss));
         request.unsettled()
                 .removeIf(
@@ -557,15 +571,6 @@
         }
     }
 
-    /**
-     * Returns the engines that were lost under a request, without those that may only be silent.
-     */
-    private static Set<Integer> engines(Suspect request) {
-        Set<Integer> engines = new HashSet<>();
-        request.losses().forEach(loss -> engines.add(loss.engine()));
-        return engines;
-    }
-
     private boolean isZoneFailure(Suspect.Loss loss, Set<Integer> requestEngines) {
         String zone = mZoneOfEngine.getOrDefault(loss.engine(), "");
         return mZones.isZoneFailure(zone, loss.atNanos(), requestEngines);
