--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamRun.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/StreamRun.java
@@ -92,9 +92,9 @@
     }
 
     /**
-     * Returns whether a further attempt could end a third engine before it is known whether the
-     * request has ended two. A request with prompt parts has an attempt more, since engines that
-     * crash at the same time would end it: its next output shows that it is sound.
+     * Returns whether the request waits until it is known whether two engines have ended under it,
+     * since a further attempt could end a third one. A request with prompt parts does not wait: if
+     * the engines ended for another reason, the output of its next attempt shows that it is sound.
      */
     boolean awaitsSettlement() {
         GenerationShape shape = mWork.generation();
