Leave out the content of requests that are recognized by their prompts

Cause: with the fingerprint of all requests, the traffic loop hashed the long body of each generation, which its service recognizes by the parts of its prompt. The virtual machine of an instance has no compiled hash at first.

The content is left out where the service has model engines and the prompt has parts, as for all streams before. CrashingRequestTest holds.

--- a/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/Work.java
+++ b/gentianwalk-core/src/main/java/org/gentianwalk/core/dispatch/Work.java
@@ -20,7 +20,7 @@
  * @param maxPauseNanos target for the longest pause between events, nanoseconds; 0 for calls
  * @param maxAttempts maximum number of attempts that may execute it
  * @param eventsSeen number of events that the caller already has; positive for a resumed stream
- * @param content fingerprint of team, method, path and body, or null when it is not known
+ * @param content fingerprint of team, method, path and body, or null when it is not needed
  * @param route name of its route; empty when it is not known
  */
 public record Work(
--- a/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/TrafficHandler.java
+++ b/gentianwalk-gateway/src/main/java/org/gentianwalk/gateway/traffic/TrafficHandler.java
@@ -5,11 +5,13 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.gentianwalk.core.dispatch.GenerationShape;
 import org.gentianwalk.core.dispatch.Work;
 import org.gentianwalk.core.dispatch.WorkScheduler;
 import org.gentianwalk.core.model.Fingerprint;
 import org.gentianwalk.core.route.Route;
 import org.gentianwalk.core.route.RouteTable;
+import org.gentianwalk.core.route.ServiceSpec;
 import org.gentianwalk.core.route.Team;
 import org.gentianwalk.gateway.http.CallerChannel;
 import org.gentianwalk.gateway.http.CallerRequest;
@@ -82,13 +84,13 @@
                     SERVICE_UNAVAILABLE, "the team's name can't be sent to upstreams", null);
             return NO_LISTENER;
         }
-        Work work = work(request, route, team);
+        Work work = work(request, route, table, team);
         Exchange exchange = new Exchange(work, request, channel, mCollaborators);
         mCollaborators.control().requestArrived(work, exchange);
         return exchange;
     }
 
-    private Work work(CallerRequest request, Route route, @Nullable Team team) {
+    private Work work(CallerRequest request, Route route, RouteTable table, @Nullable Team team) {
         CallerHead head = request.head();
         long arrived = request.arrivedNanos();
         Duration timeout = head.timeout();
@@ -98,10 +100,12 @@
             deadline = arrived + timeout.toNanos();
         }
         int priority = team == null ? route.priority() : team.priority().orElse(route.priority());
+        String service = route.service(ThreadLocalRandom.current().nextDouble());
+        boolean byPrompt = isRecognizedByPrompt(table.service(service), head.generation());
         return new Work(
                 ++mNextWork,
                 head.requestId(),
-                route.service(ThreadLocalRandom.current().nextDouble()),
+                service,
                 team == null ? "" : team.name(),
                 route.kind(),
                 priority,
@@ -112,10 +116,22 @@
                 route.maxPause().toNanos(),
                 route.maxAttempts(),
                 head.lastEvent(),
-                content(request, team),
+                byPrompt ? null : content(request, team),
                 route.name());
     }
 
+    /**
+     * Returns whether a service recognizes a request by the parts of its prompt, so that its long
+     * body need not be hashed.
+     */
+    private static boolean isRecognizedByPrompt(
+            @Nullable ServiceSpec service, @Nullable GenerationShape generation) {
+        return service != null
+                && service.engine() != null
+                && generation != null
+                && !generation.parts().isEmpty();
+    }
+
     /** Returns the fingerprint that recognizes a request that is sent again. */
     private static Fingerprint content(CallerRequest request, @Nullable Team team) {
         return Fingerprint.of(
