--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -12,6 +12,7 @@
 import re
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -270,6 +271,79 @@
         await writer.drain()
 
 
+class ModelEngine(Engine):
+    """A model engine: reads one prompt at a time, then sends the events of each stream.
+
+    `lose` is asked for each request that has been read; if it says so, the engine runs the request
+    and its answer is lost: the channel is reset before a byte of it is sent.
+    """
+
+    TOKENS_PER_MS = 8
+    EVENTS = 12
+    EVENT_S = 0.05
+
+    def __init__(self, name, service, record, lose=None):
+        super().__init__(name, service, record, slots=16)
+        self._reads = asyncio.Lock()
+        self._lose = lose or (lambda request: False)
+        self.arrivals = []
+
+    async def handle(self, request, writer):
+        """Answers a request."""
+        if request.target == "/healthz":
+            writer.write(response(200, {"Instance-Id": self.name}))
+            await writer.drain()
+            return
+        if request.target.startswith("/gentianwalk/report"):
+            body = {"stage": "hybrid", "models": [], "waiting": 0, "running": 0}
+            writer.write(response(200, {"Instance-Id": self.name}, json.dumps(body).encode()))
+            await writer.drain()
+            return
+        if request.target.startswith("/gentianwalk/kv-list"):
+            body = {"epoch": 1, "next": 1, "held": []}
+            writer.write(response(200, {"Instance-Id": self.name}, json.dumps(body).encode()))
+            await writer.drain()
+            return
+        if request.get("Expect-Instance") not in (None, self.name):
+            writer.write(response(421, {"Instance-Id": self.name, "Not-Executed": "1"}))
+            await writer.drain()
+            return
+        attempt = request.get("Attempt-Id", "")
+        self.arrivals.append((time.monotonic(), attempt))
+        self._record.line(f"{attempt} reaches {self.name}")
+        tokens = int(request.get("Token-Usage", "0,0").split(",")[0])
+        async with self._reads:
+            await asyncio.sleep(tokens / self.TOKENS_PER_MS / 1000)
+        self.runs[attempt] = self.runs.get(attempt, 0) + 1
+        self._record.line(f"{self.name} runs {attempt}")
+        if self._lose(request):
+            self._record.line(f"{self.name} loses the answer to {attempt}")
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger
+            )
+            writer.close()
+            raise ConnectionResetError("the answer is lost")
+        headers = [
+            "HTTP/1.1 200 OK",
+            f"Attempt-Id: {attempt}",
+            f"Response-Signature: sig.{self.name}.{attempt}",
+            "Content-Type: text/event-stream",
+            "Keep-Alive: timeout=10",
+            "Transfer-Encoding: chunked",
+            "",
+            "",
+        ]
+        writer.write("\r\n".join(headers).encode())
+        for number in range(int(request.get("Last-Event-Id", "0")) + 1, self.EVENTS + 1):
+            event = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(self.EVENT_S)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+
 class Instance:
     """A process of the program that the deploy file runs."""
 
@@ -422,6 +496,27 @@
     }
 
 
+def model_service(name):
+    """Returns a service of model engines of a manifest."""
+    return {
+        **plain_service(name),
+        "engine": {
+            "slots": 16,
+            "kv_capacity": 88000,
+            "kv_token_bytes": 163840,
+            "link_mbps": 260000.0,
+            "moves": False,
+            "backups": False,
+            "stride": 9,
+            "most": 12,
+            "pin_ms": 4000.0,
+            "hold_ms": 2000.0,
+            "handle_s": 4.0,
+            "models": [{"name": "m"}],
+        },
+    }
+
+
 def run(case, folder, limit_s=115):
     """Runs a case: exits with 0 if the rule held, 1 if it was broken, 2 if it couldn't run."""
     disrupt = os.environ.get("TROUBLE", "1") != "0"
