--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -216,6 +216,7 @@
         self.port = free_port()
         self.address = f"{HOST}:{self.port}"
         self.runs = {}
+        self.readers = {}
         self._record = record
         self._slots = asyncio.Semaphore(slots)
         self._slot_count = slots
@@ -243,12 +244,25 @@
         try:
             while True:
                 request = await read_message(reader)
+                self.readers[writer] = reader
                 await self.handle(request, writer)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self.readers.pop(writer, None)
             writer.close()
 
+    async def exit(self):
+        """Ends the engine: it listens no more, and its channels are reset."""
+        self._server.close()
+        for writer in list(self.readers):
+            writer.transport.abort()
+
+    def is_closed(self, writer):
+        """Returns whether the other side has closed a channel."""
+        reader = self.readers[writer]
+        return reader.at_eof() or reader.exception() is not None
+
     async def handle(self, request, writer):
         """Answers a request."""
         if request.target == "/healthz":
