--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -293,6 +293,7 @@
     """
 
     TOKENS_PER_MS = 8
+    MEMORY_TOKENS = 88_000
     EVENTS = 12
     EVENT_S = 0.05
 
@@ -325,7 +326,11 @@
         attempt = request.get("Attempt-Id", "")
         self.arrivals.append((time.monotonic(), attempt))
         self._record.line(f"{attempt} reaches {self.name}")
-        tokens = int(request.get("Token-Usage", "0,0").split(",")[0])
+        tokens, output = map(int, request.get("Token-Usage", "0,0").split(","))
+        if tokens + output > self.MEMORY_TOKENS:
+            writer.write(response(503, {"Attempt-Id": attempt, "Not-Executed": "1"}))
+            await writer.drain()
+            return
         async with self._reads:
             await asyncio.sleep(tokens / self.TOKENS_PER_MS / 1000)
         self.runs[attempt] = self.runs.get(attempt, 0) + 1
