--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -118,6 +118,16 @@
     return "\r\n".join(lines).encode("latin-1") + body
 
 
+def first_page(rows):
+    """Returns the rows that one answer of the store holds: at most 500, or 1 MB."""
+    size = 0
+    for number, row in enumerate(rows):
+        size += len(row.get("value", "")) + 200
+        if number > 0 and (size > 1_000_000 or number >= 500):
+            return rows[:number]
+    return rows
+
+
 class Store:
     """The platform's store: rows with versions, reads, feeds and transactions."""
 
@@ -139,6 +149,13 @@
             self._rows[(table, "", key)] = (data, self._ver)
             self._changed.notify_all()
 
+    async def put_bytes(self, table, key, data):
+        """Writes a row as another writer does."""
+        async with self._changed:
+            self._ver += 1
+            self._rows[(table, "", key)] = (data, self._ver)
+            self._changed.notify_all()
+
     def _listed(self, table, since=0, removed=False):
         rows = []
         for (name, _, key), (data, ver) in self._rows.items():
@@ -172,7 +189,10 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         if url.path == "/gentianwalk/rows-get":
             rows = sorted(self._listed(query["table"]), key=lambda row: row["key"].encode())
-            return 200, self._answer(rows, has_more=False)
+            start = query.get("from", "").encode()
+            rows = [row for row in rows if row["key"].encode() >= start]
+            page = first_page(rows)
+            return 200, self._answer(page, has_more=len(page) < len(rows))
         if url.path == "/gentianwalk/rows-feed":
             since = int(query["since_revision"])
             until = time.monotonic() + int(query.get("wait_ms", "0")) / 1000
@@ -182,7 +202,11 @@
                     left = until - time.monotonic()
                     if rows or left <= 0:
                         rows.sort(key=lambda row: row["ver"])
-                        return 200, self._answer(rows)
+                        page = first_page(rows)
+                        answer = json.loads(self._answer(page))
+                        if len(page) < len(rows):
+                            answer["ver"] = page[-1]["ver"]
+                        return 200, json.dumps(answer).encode()
                     try:
                         await asyncio.wait_for(self._changed.wait(), left)
                     except TimeoutError:
