--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -39,6 +40,21 @@
         return probe.getsockname()[1]
 
 
+def slow_socket():
+    """Returns a socket of a requester on a link with Ethernet's segments and little memory.
+
+    It has a loopback address of its own: the system keeps what it learned of an address for later
+    connections to it, and with it how much the sender's side of a connection holds.
+    """
+    sock = socket.socket()
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1460)
+    host = ".".join(str(random.randint(1, 254)) for _ in range(3))
+    sock.bind((f"127.{host}", 0))
+    return sock
+
+
 class Record:
     """Writes what was sent, answered and run to record.txt."""
 
